--- /dev/null
+++ b/crates/consensus/src/election.rs
@@ -0,0 +1,186 @@
+use crate::*;
+use postbarrow_constants::consensus::*;
+
+impl Consensus {
+    pub(crate) fn set_election(&mut self, nowMs: u64) {
+        let spread = self.random() % ELECTION_SPREAD_MS;
+        self.electionDueMs = nowMs + ELECTION_MIN_MS + spread;
+    }
+
+    fn majority(&self) -> usize {
+        self.log.members().len() / 2 + 1
+    }
+
+    fn vote_ask(&self, term: u64) -> VoteAsk {
+        VoteAsk { term, last: self.log.last(), lastTerm: self.log.last_term() }
+    }
+
+    fn others(&self) -> Vec<Member> {
+        self.log.members().iter().filter(|member| member.id != self.id).copied().collect()
+    }
+
+    pub(crate) fn start_pre_vote(&mut self, nowMs: u64) {
+        self.set_election(nowMs);
+        self.set_role(Role::PreCandidate);
+        self.leader = None;
+        self.votes = [self.id].into();
+        let ask = self.vote_ask(self.term + 1);
+        for to in self.others() {
+            self.send(to, Message::PreVote(ask.clone()));
+        }
+        if self.votes.len() >= self.majority() {
+            self.start_vote(nowMs);
+        }
+    }
+
+    fn start_vote(&mut self, nowMs: u64) {
+        self.set_election(nowMs);
+        self.set_role(Role::Candidate);
+        self.term += 1;
+        self.voted = Some(self.id);
+        self.votes = [self.id].into();
+        self.write_hard();
+        let ask = self.vote_ask(self.term);
+        for to in self.others() {
+            self.send_after_sync(to, Message::Vote(ask.clone()));
+        }
+        if self.votes.len() >= self.majority() {
+            self.become_leader(nowMs);
+        }
+    }
+
+    /// A voter that heard a leader lately, or just started and may have, promises nothing.
+    fn bound_to_leader(&self, nowMs: u64) -> bool {
+        let leading = self.role == Role::Leader && nowMs < self.hold_until();
+        leading || nowMs < self.heardMs.max(self.startedMs) + ELECTION_MIN_MS
+    }
+
+    fn up_to_date(&self, ask: &VoteAsk) -> bool {
+        (ask.lastTerm, ask.last) >= (self.log.last_term(), self.log.last())
+    }
+
+    pub(crate) fn on_pre_vote(&mut self, nowMs: u64, from: Member, ask: VoteAsk) {
+        let granted = self.log.is_member(self.id)
+            && ask.term > self.term
+            && !self.bound_to_leader(nowMs)
+            && self.up_to_date(&ask);
+        let term = if granted { ask.term } else { self.term };
+        self.send(from, Message::PreVoteResponse { term, granted });
+    }
+
+    pub(crate) fn on_pre_vote_response(
+        &mut self,
+        nowMs: u64,
+        from: Member,
+        term: u64,
+        granted: bool,
+    ) {
+        if !granted {
+            if term > self.term {
+                self.follow(nowMs, term, None);
+            }
+            return;
+        }
+        if self.role != Role::PreCandidate || term != self.term + 1 {
+            return;
+        }
+        if self.log.is_member(from.id) {
+            self.votes.insert(from.id);
+        }
+        if self.votes.len() >= self.majority() {
+            self.start_vote(nowMs);
+        }
+    }
+
+    pub(crate) fn on_vote(&mut self, nowMs: u64, from: Member, ask: VoteAsk) {
+        if !self.log.is_member(self.id) || self.bound_to_leader(nowMs) {
+            return;
+        }
+        if ask.term > self.term {
+            self.follow(nowMs, ask.term, None);
+        }
+        let free = self.voted.is_none() || self.voted == Some(from.id);
+        let granted = ask.term == self.term && free && self.up_to_date(&ask);
+        if granted {
+            self.voted = Some(from.id);
+            self.write_hard();
+            self.set_election(nowMs);
+        }
+        let response = Message::VoteResponse { term: self.term, granted };
+        self.send_after_sync(from, response);
+    }
+
+    pub(crate) fn on_vote_response(&mut self, nowMs: u64, from: Member, term: u64, granted: bool) {
+        if term > self.term {
+            return self.follow(nowMs, term, None);
+        }
+        if self.role != Role::Candidate || term != self.term || !granted {
+            return;
+        }
+        if self.log.is_member(from.id) {
+            self.votes.insert(from.id);
+        }
+        if self.votes.len() >= self.majority() {
+            self.become_leader(nowMs);
+        }
+    }
+
+    pub(crate) fn follow(&mut self, nowMs: u64, term: u64, leader: Option<MemberId>) {
+        if term > self.term {
+            self.term = term;
+            self.voted = None;
+            self.write_hard();
+        }
+        if self.role == Role::Leader {
+            self.progress.clear();
+            self.learners.clear();
+            self.heardMs = self.heardMs.max(nowMs.saturating_sub(ELECTION_MIN_MS));
+        }
+        self.set_role(Role::Follower);
+        self.leader = leader;
+        self.set_election(nowMs);
+    }
+
+    pub(crate) fn set_role(&mut self, role: Role) {
+        if self.role != role {
+            self.role = role;
+            self.effects.push(Effect::Role(role));
+        }
+    }
+
+    fn become_leader(&mut self, nowMs: u64) {
+        self.set_role(Role::Leader);
+        self.leader = Some(self.id);
+        self.incoming = None;
+        self.progress.clear();
+        for member in self.others() {
+            let progress = Progress::new(member, self.log.last() + 1, nowMs);
+            self.progress.insert(member.id, progress);
+        }
+        self.termStart = self.log.last() + 1;
+        self.append_own(nowMs, vec![Payload::TermStart]);
+    }
+
+    /// End of the hold a majority confirmed, by this leader's own send times.
+    pub fn hold_until(&self) -> u64 {
+        if self.role != Role::Leader {
+            return 0;
+        }
+        let mut echoes: Vec<u64> = self
+            .log
+            .members()
+            .iter()
+            .filter(|member| member.id != self.id)
+            .map(|member| self.progress.get(&member.id).map_or(0, |known| known.echoMs))
+            .collect();
+        echoes.sort_unstable_by(|a, b| b.cmp(a));
+        let needed = self.majority() - usize::from(self.log.is_member(self.id));
+        match needed.checked_sub(1) {
+            None => u64::MAX,
+            Some(at) => match echoes.get(at) {
+                Some(0) | None => 0,
+                Some(echoMs) => echoMs + CONTROLLER_HOLD_MS,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/types.rs
@@ -0,0 +1,155 @@
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+pub type MemberId = u64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Member {
+    pub id: MemberId,
+    pub address: SocketAddr,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    Follower,
+    PreCandidate,
+    Candidate,
+    Leader,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Payload {
+    TermStart,
+    Members(Vec<Member>),
+    #[serde(with = "serde_bytes")]
+    Batch(Vec<u8>),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    pub term: u64,
+    pub index: u64,
+    pub payload: Payload,
+}
+
+impl Entry {
+    pub fn size(&self) -> usize {
+        32 + match &self.payload {
+            Payload::TermStart => 0,
+            Payload::Members(members) => members.len() * 40,
+            Payload::Batch(bytes) => bytes.len(),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hard {
+    pub term: u64,
+    pub voted: Option<MemberId>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    pub index: u64,
+    pub term: u64,
+    pub members: Vec<Member>,
+    #[serde(with = "serde_bytes")]
+    pub state: Vec<u8>,
+}
+
+/// What the disk gave back at start; all empty for a new one.
+#[derive(Clone, Debug, Default)]
+pub struct Recovered {
+    pub term: u64,
+    pub voted: Option<MemberId>,
+    pub snapshot: Option<Arc<Snapshot>>,
+    pub entries: Vec<Entry>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct VoteAsk {
+    pub term: u64,
+    pub last: u64,
+    pub lastTerm: u64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Append {
+    pub term: u64,
+    pub prev: u64,
+    pub prevTerm: u64,
+    pub entries: Vec<Entry>,
+    pub commit: u64,
+    pub sentMs: u64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct AppendResponse {
+    pub term: u64,
+    pub matched: Option<u64>,
+    pub hint: u64,
+    pub sentMs: u64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SnapshotPart {
+    pub term: u64,
+    pub index: u64,
+    pub indexTerm: u64,
+    pub members: Vec<Member>,
+    pub offset: u64,
+    pub total: u64,
+    #[serde(with = "serde_bytes")]
+    pub bytes: Vec<u8>,
+    pub sentMs: u64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SnapshotResponse {
+    pub term: u64,
+    pub index: u64,
+    pub received: u64,
+    pub done: bool,
+    pub sentMs: u64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Message {
+    PreVote(VoteAsk),
+    PreVoteResponse { term: u64, granted: bool },
+    Vote(VoteAsk),
+    VoteResponse { term: u64, granted: bool },
+    Append(Append),
+    AppendResponse(AppendResponse),
+    Snapshot(SnapshotPart),
+    SnapshotResponse(SnapshotResponse),
+}
+
+#[derive(Clone, Debug)]
+pub enum Input {
+    Pulse,
+    Synced(u64),
+    Receive { from: Member, message: Message },
+    Propose(Vec<Vec<u8>>),
+    Form(Vec<Member>),
+    Learner(Member),
+    Compact { index: u64, state: Vec<u8> },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Write {
+    Hard(Hard),
+    Append(Vec<Entry>),
+    Truncate { from: u64 },
+    Slot { snapshot: Arc<Snapshot>, hard: Hard, entries: Vec<Entry> },
+}
+
+#[derive(Clone, Debug)]
+pub enum Effect {
+    Send { to: Member, message: Message },
+    Write { sequence: u64, write: Write },
+    Commit(Vec<Entry>),
+    Restore(Arc<Snapshot>),
+    Role(Role),
+}
--- /dev/null
+++ b/crates/constants/src/consensus.rs
@@ -0,0 +1,32 @@
+//! Timing and sizes of the replicated log and its disk.
+
+/// How often every protocol part is given its pulse; a tenth of the heartbeat keeps error small.
+pub const PULSE_MS: u64 = 20;
+/// Leader's heartbeat; seven fit in one hold, so one lost frame costs nothing.
+pub const HEARTBEAT_MS: u64 = 100;
+/// Controller's hold, counted from when the confirmed heartbeat was sent.
+pub const CONTROLLER_HOLD_MS: u64 = 700;
+/// A voter grants nothing for this long after hearing a leader; longer than the hold by clock slack.
+pub const ELECTION_MIN_MS: u64 = 1_000;
+/// Spread of candidates' starts, so that three machines rarely split the vote.
+pub const ELECTION_SPREAD_MS: u64 = 400;
+/// Largest entry bytes in one append frame; keeps a link's frame near a disk's fast write.
+pub const APPEND_BYTES: usize = 512 * 1024;
+/// Bytes of snapshot in one frame.
+pub const SNAPSHOT_CHUNK_BYTES: usize = 512 * 1024;
+/// Resend a snapshot chunk that was not answered in this time.
+pub const SNAPSHOT_RETRY_MS: u64 = 500;
+/// Log bytes between two slot writes; a start reads at most this much beyond a slot.
+pub const LOG_BYTES: u64 = 8 * 1024 * 1024;
+/// Largest record in the log file; a larger length is damage.
+pub const LOG_RECORD_BYTES: usize = 64 * 1024 * 1024;
+/// Entries kept behind a snapshot, so that a slow follower needs no snapshot.
+pub const ENTRIES_KEPT: u64 = 2_000;
+/// A voter silent this long is replaced when a learner stands ready.
+pub const VOTER_DEAD_MS: u64 = 4_000;
+/// A learner this close to the tail is caught up.
+pub const LEARNER_LAG_ENTRIES: u64 = 200;
+/// Voters in a control plane: one per disk machine.
+pub const VOTERS: usize = 3;
+/// Fresh control nodes greet each other at this pace until a log exists.
+pub const GREET_MS: u64 = 200;
--- /dev/null
+++ b/crates/constants/src/coordination.rs
@@ -0,0 +1,45 @@
+//! Tickets, locks, numbers, keys and watches.
+
+/// A granted ticket is used within this time of the question or never.
+pub const TICKET_USE_MS: u64 = 1_500;
+/// A question to the controller that gets no response in this time has an unknown end.
+pub const ASK_CONTROLLER_MS: u64 = 2_500;
+/// A question is sent again at this pace while its end is open; the controller sees repeats.
+pub const ASK_AGAIN_MS: u64 = 300;
+/// A settled ticket is kept this long: a client's retries come within minutes.
+pub const TICKET_KEEP_MS: u64 = 15 * 60 * 1_000;
+/// Settled tickets kept at most: 170 a second for ten minutes.
+pub const TICKETS: usize = 102_000;
+/// A response kept with its ticket, at most; larger ones get 409 on repeat.
+pub const KEPT_RESPONSE_BYTES: usize = 2 * 1024;
+/// An Idempotency-Key, at most.
+pub const TICKET_KEY_BYTES: usize = 200;
+/// Results of coordination calls kept for repeats.
+pub const REPEATS: usize = 20_000;
+/// Such a result is kept this long.
+pub const REPEAT_KEEP_MS: u64 = 120_000;
+/// Watch events kept at least this long; the brief asks for about 20 s.
+pub const HISTORY_KEEP_MS: u64 = 25_000;
+/// Watch events kept at most; 65 calls a second for 25 s is 1 625.
+pub const HISTORY_EVENTS: usize = 50_000;
+/// A long poll ends empty after this.
+pub const WATCH_WAIT_MS: u64 = 20_000;
+/// Long polls open at one node.
+pub const WATCHES: usize = 2_000;
+/// A long poll asks the controller again at this pace.
+pub const WATCH_ASK_MS: u64 = 250;
+/// Events in one watch response.
+pub const WATCH_EVENTS: usize = 500;
+/// Shortest and longest time to live of a lock.
+pub const LOCK_TTL_LEAST_MS: u64 = 500;
+pub const LOCK_TTL_MOST_MS: u64 = 10 * 60 * 1_000;
+/// Name of a lock, number or key.
+pub const NAME_BYTES: usize = 256;
+/// Value of a small key.
+pub const VALUE_BYTES: usize = 16 * 1024;
+/// Housekeeping of tickets, repeats and history.
+pub const FORGET_MS: u64 = 1_000;
+/// Records in one housekeeping batch.
+pub const FORGET_RECORDS: usize = 2_000;
+/// Operator's submission waits this long for its end.
+pub const SUBMIT_WAIT_MS: u64 = 5_000;
--- /dev/null
+++ b/crates/constants/src/lib.rs
@@ -0,0 +1,7 @@
+//! Every tunable of postbarrow, with its unit in the name and its reason beside it.
+
+pub mod consensus;
+pub mod coordination;
+pub mod nodes;
+pub mod plans;
+pub mod traffic;
--- /dev/null
+++ b/crates/constants/src/plans.rs
@@ -0,0 +1,34 @@
+//! Bounds of plans and transactions.
+
+/// Begin's name and Abort's reason, from KIP-868.
+pub const MARKER_TEXT_BYTES: usize = 255;
+/// A transaction open longer than this gets Abort (ours, start value).
+pub const TRANSACTION_OPEN_MS: u64 = 500;
+/// A pending delta above this gets Abort (ours, start value).
+pub const DELTA_BYTES: usize = 8 * 1024 * 1024;
+/// Record bytes in one batch; small enough that tickets behind a batch wait one short sync.
+pub const BATCH_BYTES: usize = 64 * 1024;
+/// Batches of a transaction in flight at once; pipelining hides the sync.
+pub const BATCHES_IN_FLIGHT: usize = 8;
+/// A plan's text as received; above the delta bound, so that the bound is what refuses a large one.
+pub const PLAN_TEXT_BYTES: usize = 16 * 1024 * 1024;
+/// Findings reported for one document; a thousand lines help nobody.
+pub const FINDINGS: usize = 100;
+/// Bytes of a submission's version name.
+pub const VERSION_BYTES: usize = 128;
+/// Default deadline of a route whose plan names none.
+pub const ROUTE_DEADLINE_MS: u64 = 5_000;
+/// Longest deadline a plan may name.
+pub const ROUTE_DEADLINE_MOST_MS: u64 = 60_000;
+/// Default body bound of a route.
+pub const ROUTE_BODY_BYTES: u64 = 1024 * 1024;
+/// Largest body bound a plan may name: the body is held whole in memory.
+pub const ROUTE_BODY_MOST_BYTES: u64 = 32 * 1024 * 1024;
+/// Text of a route's rule; with its depth it bounds the cost of one evaluation.
+pub const RULE_BYTES: usize = 512;
+/// Depth of a rule's expression.
+pub const RULE_DEPTH: usize = 24;
+/// Brackets within brackets, and signs that nest as they do; the CEL reader recurses on each.
+pub const RULE_BRACKETS: usize = 8;
+/// Stack for reading one rule: the worst text within these bounds needs less than half.
+pub const RULE_STACK_BYTES: usize = 8 * 1024 * 1024;
--- /dev/null
+++ b/crates/constants/src/traffic.rs
@@ -0,0 +1,61 @@
+//! Requests, links, connections and memory.
+
+/// Largest frame on a link.
+pub const FRAME_BYTES: usize = 24 * 1024 * 1024;
+/// Frames waiting on one link; beyond it the newest is dropped, and protocols send again.
+pub const LINK_FRAMES: usize = 4_096;
+/// A link connects within this time.
+pub const LINK_CONNECT_MS: u64 = 300;
+/// A link whose write hangs this long is closed.
+pub const LINK_WRITE_MS: u64 = 1_000;
+/// A refused link is tried again after this pause.
+pub const LINK_AGAIN_MS: u64 = 100;
+/// Incoming links of one process.
+pub const LINKS: usize = 512;
+/// Client connections of one node, each on a small thread.
+pub const DOWNSTREAMS: usize = 1_024;
+/// Stack of a connection's thread.
+pub const STACK_BYTES: usize = 256 * 1024;
+/// An idle client connection is closed after this.
+pub const DOWNSTREAM_IDLE_MS: u64 = 15_000;
+/// A head must be whole in this time.
+pub const HEAD_WAIT_MS: u64 = 5_000;
+/// A body must be whole in this time.
+pub const BODY_WAIT_MS: u64 = 20_000;
+/// A response must be taken by the client in this time.
+pub const DOWNSTREAM_WRITE_MS: u64 = 10_000;
+/// Head of a request, and its headers.
+pub const HEAD_BYTES: usize = 32 * 1024;
+pub const HEADERS: usize = 100;
+/// Bodies held in memory by one node, requests and responses together.
+pub const BODIES_BYTES: usize = 256 * 1024 * 1024;
+/// Response body of a target, at most.
+pub const RESPONSE_BYTES: usize = 32 * 1024 * 1024;
+/// Asks at work in one node; beyond it they are shed at once.
+pub const ASKS: usize = 768;
+/// Asks for coordination at work in one node.
+pub const COORDINATION_ASKS: usize = 256;
+/// Share of the budget that extra goes may take of a service's asks, in per cent.
+pub const EXTRA_GOES_PERCENT: u64 = 20;
+/// Extra goes allowed to the whole fleet beyond the share, per second; small, so that quiet services recover.
+pub const EXTRA_GOES_PER_S: u64 = 1;
+/// Allowance a fleet can save up.
+pub const EXTRA_GOES_SAVED: u64 = 10;
+/// Goes of one lookup.
+pub const GOES: usize = 3;
+/// Goes of one ticketed ask: each further one needs a committed unsent.
+pub const TICKETED_GOES: usize = 3;
+/// Proved connections kept idle for one target.
+pub const IDLE_CONNECTIONS: usize = 16;
+/// An idle connection older than this is closed.
+pub const IDLE_CONNECTION_MS: u64 = 10_000;
+/// Connect to a target and its proof.
+pub const PROOF_WAIT_MS: u64 = 800;
+/// Where a target proves who it is.
+pub const PROOF_PATH: &str = "/.well-known/postbarrow-target";
+/// A shed client is told to come back after this; seconds, as the header has it.
+pub const RETRY_AFTER_S: u64 = 1;
+/// Clean stop: unready this long before the listener closes, so that the platform sees it.
+pub const STOP_UNREADY_MS: u64 = 1_000;
+/// Clean stop: asks in flight get this long.
+pub const STOP_WAIT_MS: u64 = 20_000;
--- /dev/null
+++ b/crates/messages/src/asks.rs
@@ -0,0 +1,50 @@
+use postbarrow_state::{Call, Incarnation, Kept, Name, Outcome, Record, Settlement, Ticket};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// A question to the controller; each may be sent again until it is answered.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Ask {
+    Ticket(Ticket),
+    Settle { key: Name, node: Incarnation, go: u32, settlement: Settlement, response: Option<Kept> },
+    Call { id: Option<Name>, call: Call },
+    Submit(Submission),
+    Show,
+    Targets,
+    Members,
+    Status,
+}
+
+/// A plan that was read and checked whole.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Submission {
+    pub version: Name,
+    pub base: Option<Name>,
+    pub records: Vec<Record>,
+    pub dryRun: bool,
+    pub allowEmpty: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Response {
+    Granted,
+    /// The key is known: what became of it.
+    Known(Box<Ticket>),
+    /// The key was used for another digest.
+    OtherDigest,
+    Settled,
+    Outcome(Outcome),
+    Refused(String),
+    Operator {
+        status: u16,
+        json: bool,
+        body: Vec<u8>,
+    },
+    NotController {
+        controller: Option<SocketAddr>,
+    },
+    /// The controller lost its place meanwhile: the end is unknown.
+    Lost,
+    /// Nobody answered in time: the end is unknown.
+    TimedOut,
+}
--- /dev/null
+++ b/crates/plan/src/document.rs
@@ -0,0 +1,149 @@
+use crate::{Pattern, limits};
+use compact_str::CompactString;
+use postbarrow_constants::plans::*;
+use postbarrow_reading::{Fields, Findings, Reading, Value, text};
+use postbarrow_rules::Rule;
+use postbarrow_state::{Kind, Labels, Route, Service};
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub version: String,
+    pub base: Option<String>,
+    pub services: Vec<Service>,
+    pub routes: Vec<Route>,
+    pub text: String,
+}
+
+impl Plan {
+    pub fn read(given: &[u8]) -> Result<Plan, Findings> {
+        if given.len() > PLAN_TEXT_BYTES {
+            let message = format!("is larger than {PLAN_TEXT_BYTES} bytes");
+            return Err(Findings::bare("$", message));
+        }
+        let given = std::str::from_utf8(given).map_err(|error| {
+            Findings::bare("$", format!("is not UTF-8 at byte {}", error.valid_up_to()))
+        })?;
+        let (value, mut reading) = Reading::parse(given)?;
+        let plan = read_plan(&value, given, &mut reading);
+        match plan {
+            Some(plan) => reading.finish(plan),
+            None => Err(reading.finish(()).expect_err("a plan that can't be read has findings")),
+        }
+    }
+}
+
+fn read_plan(value: &Value, given: &str, reading: &mut Reading) -> Option<Plan> {
+    let mut fields = Fields::of(value, "$", reading)?;
+    let version = fields.text("version", reading).map(str::to_string);
+    let base = fields.text_or_none("base", reading).map(str::to_string);
+    for (field, name) in [("version", &version), ("base", &base)] {
+        let Some(name) = name else { continue };
+        if name.is_empty() || name.len() > VERSION_BYTES {
+            let message = format!("must have 1 to {VERSION_BYTES} bytes");
+            reading.find(&fields.place(field), message);
+        }
+    }
+    if version.is_some() && version == base {
+        reading.find("$.base", "is the plan's own version".into());
+    }
+    let mut services = BTreeMap::new();
+    for (name, place, value) in fields.named("services", reading) {
+        if let Some(service) = read_service(&name, &place, value, reading) {
+            services.insert(name, service);
+        }
+    }
+    let mut routes = Vec::new();
+    let mut known = BTreeSet::new();
+    for (place, value) in fields.array("routes", reading) {
+        let Some(route) = read_route(&place, value, reading) else { continue };
+        if !services.contains_key(route.service.as_str()) {
+            let message = format!("names {:?}, which is not among the services", route.service);
+            reading.find(&format!("{place}.service"), message);
+        }
+        for method in &route.methods {
+            let shape = Pattern::read(&route.path).map(|pattern| pattern.shape());
+            if !known.insert((shape.ok(), method.clone(), route.when.clone())) {
+                let message = format!("has {method} {} a second time", route.path);
+                reading.find(&place, message);
+            }
+        }
+        routes.push(route);
+    }
+    fields.finish(reading);
+    let services = services.into_values().collect();
+    Some(Plan { version: version?, base, services, routes, text: given.to_string() })
+}
+
+fn read_service(name: &str, place: &str, value: &Value, reading: &mut Reading) -> Option<Service> {
+    let mut fields = Fields::of(value, place, reading)?;
+    let mut labels = Labels::new();
+    for (label, place, value) in fields.named("labels", reading) {
+        if let Some(value) = text(value, &place, reading) {
+            labels.insert(CompactString::from(label), CompactString::from(value));
+        }
+    }
+    if labels.is_empty() {
+        reading.find(place, "chooses by no label, which would be every target".into());
+    }
+    fields.finish(reading);
+    Some(Service { name: CompactString::from(name), labels })
+}
+
+fn read_route(place: &str, value: &Value, reading: &mut Reading) -> Option<Route> {
+    let mut fields = Fields::of(value, place, reading)?;
+    let path = fields.text("path", reading);
+    if let Some(path) = path
+        && let Err(message) = Pattern::read(path)
+    {
+        reading.find(&fields.place("path"), message);
+    }
+    let mut methods = Vec::new();
+    for (place, value) in fields.array("methods", reading) {
+        let Some(method) = text(value, &place, reading) else { continue };
+        let sound = !method.is_empty() && method.bytes().all(|byte| byte.is_ascii_uppercase());
+        if !sound || method == "CONNECT" {
+            reading.find(&place, "must be a method in capitals, and not CONNECT".into());
+        }
+        methods.push(CompactString::from(method));
+    }
+    if methods.is_empty() {
+        reading.find(&fields.place("methods"), "must name a method".into());
+    }
+    let kind = match fields.text("kind", reading) {
+        Some("lookup") => Some(Kind::Lookup),
+        Some("one-time") => Some(Kind::OneTime),
+        Some(_) => {
+            reading.find(&fields.place("kind"), "must be lookup or one-time".into());
+            None
+        }
+        None => None,
+    };
+    if kind == Some(Kind::Lookup) {
+        let safe = |method: &CompactString| matches!(method.as_str(), "GET" | "HEAD" | "OPTIONS");
+        if !methods.iter().all(safe) {
+            let message = "a lookup may run again, so it takes GET, HEAD and OPTIONS only";
+            reading.find(&fields.place("methods"), message.into());
+        }
+    }
+    let service = fields.text("service", reading).map(CompactString::from);
+    let when = fields.text_or_none("when", reading).map(str::to_string);
+    if let Some(rule) = &when
+        && let Err(message) = Rule::compile(rule)
+    {
+        reading.find(&fields.place("when"), message);
+    }
+    let bounds = limits::read(&mut fields, reading);
+    fields.finish(reading);
+    Some(Route {
+        path: CompactString::from(path?),
+        methods,
+        kind: kind?,
+        service: service?,
+        when,
+        bodyBytes: bounds.bodyBytes,
+        ratePerS: bounds.ratePerS,
+        concurrency: bounds.concurrency,
+        deadlineMs: bounds.deadlineMs,
+    })
+}
--- /dev/null
+++ b/crates/plan/src/lib.rs
@@ -0,0 +1,30 @@
+//! Route plans: reading, checks, records, and the rehearsal against the plan they replace.
+
+mod document;
+mod limits;
+mod path;
+mod rehearsal;
+
+pub use document::Plan;
+pub use path::{Pattern, Segment};
+pub use rehearsal::{Rehearsal, ServiceRehearsal};
+
+use compact_str::CompactString;
+use postbarrow_state::Record;
+
+const TEXT_PART_BYTES: usize = 16 * 1024;
+
+impl Plan {
+    /// The plan as records; its text goes along so that it reads back byte for byte.
+    pub fn records(&self) -> Vec<Record> {
+        let mut records = vec![Record::PlanStart {
+            version: CompactString::from(&self.version),
+            base: self.base.as_deref().map(CompactString::from),
+        }];
+        records.extend(self.services.iter().cloned().map(Record::Service));
+        records.extend(self.routes.iter().cloned().map(Record::Route));
+        let parts = self.text.as_bytes().chunks(TEXT_PART_BYTES);
+        records.extend(parts.map(|part| Record::PlanText(part.to_vec())));
+        records
+    }
+}
--- /dev/null
+++ b/crates/reading/src/finding.rs
@@ -0,0 +1,75 @@
+use miette::{LabeledSpan, MietteDiagnostic, NamedSource, Report};
+use std::fmt;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Finding {
+    /// A JSON path such as `$.routes[2].kind`.
+    pub place: String,
+    pub line: Option<usize>,
+    pub offset: Option<usize>,
+    pub message: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.line {
+            Some(line) => write!(out, "{} (line {line}): {}", self.place, self.message),
+            None => write!(out, "{}: {}", self.place, self.message),
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Findings {
+    pub findings: Vec<Finding>,
+}
+
+impl Findings {
+    pub fn one(text: &str, offset: usize, place: &str, message: String) -> Self {
+        let offset = offset.min(text.len());
+        let line = text.as_bytes()[..offset].iter().filter(|byte| **byte == b'\n').count() + 1;
+        let finding =
+            Finding { place: place.into(), line: Some(line), offset: Some(offset), message };
+        Findings { findings: vec![finding] }
+    }
+
+    pub fn bare(place: &str, message: String) -> Self {
+        Findings {
+            findings: vec![Finding { place: place.into(), line: None, offset: None, message }],
+        }
+    }
+
+    /// One report with every finding marked in the text.
+    pub fn report(&self, name: &str, text: &str) -> Report {
+        let labels = self.findings.iter().filter_map(|finding| {
+            let offset = finding.offset.filter(|offset| *offset <= text.len())?;
+            Some(LabeledSpan::at_offset(offset, format!("{}: {}", finding.place, finding.message)))
+        });
+        let placeless: Vec<String> = self
+            .findings
+            .iter()
+            .filter(|finding| finding.offset.is_none())
+            .map(ToString::to_string)
+            .collect();
+        let mut diagnostic =
+            MietteDiagnostic::new(format!("{} findings", self.findings.len())).with_labels(labels);
+        if !placeless.is_empty() {
+            diagnostic = diagnostic.with_help(placeless.join("\n"));
+        }
+        Report::new(diagnostic).with_source_code(NamedSource::new(name, text.to_string()))
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (at, finding) in self.findings.iter().enumerate() {
+            if at > 0 {
+                writeln!(out)?;
+            }
+            write!(out, "{finding}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Findings {}
--- /dev/null
+++ b/crates/state/src/apply.rs
@@ -0,0 +1,99 @@
+use crate::*;
+use postbarrow_transactions::Image;
+
+impl Image for State {
+    type Record = Record;
+
+    fn apply(&mut self, offset: u64, record: &Record) {
+        match record {
+            Record::PlanStart { version, base } => {
+                let head = PlanHead { version: version.clone(), base: base.clone(), offset };
+                self.plan = Some(Arc::new(head));
+                self.planText.clear();
+                self.services.clear();
+                self.routes.clear();
+            }
+            Record::PlanText(part) => self.planText.push_back(Arc::new(part.clone())),
+            Record::Service(service) => {
+                self.services.insert(service.name.clone(), Arc::new(service.clone()));
+            }
+            Record::Route(route) => self.routes.push_back(Arc::new(route.clone())),
+            Record::Target(target) => {
+                self.targets.insert(target.instance.clone(), Arc::new(target.clone()));
+            }
+            Record::TargetGone(instance) => {
+                self.targets.remove(instance);
+            }
+            Record::TargetDown { instance, down } => {
+                if let Some(target) = self.targets.get_mut(instance) {
+                    Arc::make_mut(target).down = *down;
+                }
+            }
+            Record::Node(node) => {
+                self.nodes.insert(node.incarnation, Arc::new(node.clone()));
+            }
+            Record::NodeGone(incarnation) => {
+                self.nodes.remove(incarnation);
+            }
+            Record::Ticket(ticket) => {
+                self.tickets.insert(ticket.key.clone(), Arc::new(ticket.clone()));
+            }
+            Record::Settled { key, settlement, response } => {
+                if let Some(ticket) = self.tickets.get_mut(key) {
+                    let ticket = Arc::make_mut(ticket);
+                    ticket.settled = Some(*settlement);
+                    ticket.response = response.clone().map(Arc::new);
+                }
+            }
+            Record::TicketsForgotten(keys) => {
+                for key in keys {
+                    self.tickets.remove(key);
+                }
+            }
+            Record::Repeat { id, outcome } => {
+                self.repeats.insert(id.clone(), Arc::new(outcome.clone()));
+            }
+            Record::RepeatsForgotten(ids) => {
+                for id in ids {
+                    self.repeats.remove(id);
+                }
+            }
+            Record::HistoryTrimmed { floor } => {
+                while self.history.front().is_some_and(|event| event.revision <= *floor) {
+                    self.history.pop_front();
+                }
+                self.historyFloor = self.historyFloor.max(*floor);
+            }
+            Record::Lock { name, holder, fence, ttlMs } => {
+                let lock = Lock { holder: holder.clone(), fence: *fence, ttlMs: *ttlMs };
+                self.locks.insert(name.clone(), lock);
+                self.fence = self.fence.max(*fence);
+                self.tell(name, Change::Locked { holder: holder.clone(), fence: *fence });
+            }
+            Record::LockFreed { name } => {
+                self.locks.remove(name);
+                self.tell(name, Change::Freed);
+            }
+            Record::Number { name, value } => {
+                self.numbers.insert(name.clone(), *value);
+                self.tell(name, Change::Number(*value));
+            }
+            Record::Key { name, key: Some(key) } => {
+                self.keys.insert(name.clone(), Arc::new(key.clone()));
+                self.tell(name, Change::Key(key.clone()));
+            }
+            Record::Key { name, key: None } => {
+                self.keys.remove(name);
+                self.tell(name, Change::KeyGone);
+            }
+        }
+    }
+}
+
+impl State {
+    fn tell(&mut self, name: &Name, change: Change) {
+        self.revision += 1;
+        let event = Event { revision: self.revision, name: name.clone(), change };
+        self.history.push_back(Arc::new(event));
+    }
+}
--- /dev/null
+++ b/crates/state/src/coordination.rs
@@ -0,0 +1,81 @@
+use crate::Name;
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Lock {
+    pub holder: Name,
+    pub fence: u64,
+    pub ttlMs: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Key {
+    #[serde(with = "serde_bytes")]
+    pub value: Vec<u8>,
+    pub revision: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Sort {
+    Lock,
+    Number,
+    Key,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Change {
+    Locked { holder: Name, fence: u64 },
+    Freed,
+    Number(u64),
+    Key(Key),
+    KeyGone,
+}
+
+/// One change of a lock, number or key, as watches tell it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Event {
+    pub revision: u64,
+    pub name: Name,
+    pub change: Change,
+}
+
+impl Event {
+    pub fn sort(&self) -> Sort {
+        match self.change {
+            Change::Locked { .. } | Change::Freed => Sort::Lock,
+            Change::Number(_) => Sort::Number,
+            Change::Key(_) | Change::KeyGone => Sort::Key,
+        }
+    }
+}
+
+/// What an application asks; `holder` is its own token for itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Call {
+    Lock { name: Name, holder: Name, ttlMs: u64 },
+    Renew { name: Name, holder: Name, fence: u64 },
+    Free { name: Name, holder: Name, fence: u64 },
+    ReadLock { name: Name },
+    Next { name: Name, by: u64 },
+    ReadNumber { name: Name },
+    Put { name: Name, value: Vec<u8>, revision: Option<u64> },
+    Remove { name: Name, revision: Option<u64> },
+    ReadKey { name: Name },
+    Watch { sort: Sort, prefix: Name, after: Option<u64> },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Outcome {
+    Locked { fence: u64, ttlMs: u64 },
+    Held { holder: Name, fence: u64 },
+    Freed,
+    NotHeld,
+    NoLock,
+    Number(u64),
+    Key(Key),
+    NoKey,
+    Conflict { revision: u64 },
+    Removed { revision: u64 },
+    Events { events: Vec<Event>, next: u64 },
+    TooOld { floor: u64 },
+}
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,65 @@
+//! What the log says: plans, targets, nodes, tickets, locks, numbers and keys, in persistent maps.
+
+mod apply;
+mod coordination;
+mod records;
+
+pub use coordination::*;
+pub use records::*;
+
+use compact_str::CompactString;
+use imbl::{OrdMap, Vector};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+pub type Name = CompactString;
+pub type Incarnation = u64;
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    pub plan: Option<Arc<PlanHead>>,
+    pub planText: Vector<Arc<Vec<u8>>>,
+    pub services: OrdMap<Name, Arc<Service>>,
+    pub routes: Vector<Arc<Route>>,
+    pub targets: OrdMap<Name, Arc<Target>>,
+    pub nodes: OrdMap<Incarnation, Arc<Node>>,
+    pub tickets: OrdMap<Name, Arc<Ticket>>,
+    pub locks: OrdMap<Name, Lock>,
+    pub numbers: OrdMap<Name, u64>,
+    pub keys: OrdMap<Name, Arc<Key>>,
+    pub repeats: OrdMap<Name, Arc<Outcome>>,
+    pub history: Vector<Arc<Event>>,
+    /// Events at and below this revision are no longer told.
+    pub historyFloor: u64,
+    pub revision: u64,
+    pub fence: u64,
+}
+
+impl State {
+    pub fn plan_version(&self) -> Option<&str> {
+        self.plan.as_ref().map(|plan| plan.version.as_str())
+    }
+
+    pub fn plan_text(&self) -> Vec<u8> {
+        self.planText.iter().flat_map(|part| part.iter().copied()).collect()
+    }
+
+    /// Targets of a service by its labels; draining, down and gone ones are not live.
+    pub fn live_targets(&self, service: &Service) -> Vec<Arc<Target>> {
+        self.targets.values().filter(|target| target.is_live_for(service)).cloned().collect()
+    }
+}
+
+impl Target {
+    pub fn matches(&self, service: &Service) -> bool {
+        service.labels.iter().all(|(label, value)| match label.as_str() {
+            "service" => self.service == *value,
+            "zone" => self.zone == *value,
+            _ => self.labels.get(label) == Some(value),
+        })
+    }
+
+    pub fn is_live_for(&self, service: &Service) -> bool {
+        !self.draining && !self.down && self.matches(service)
+    }
+}
--- /dev/null
+++ b/crates/state/src/records.rs
@@ -0,0 +1,130 @@
+use crate::{Event, Incarnation, Key, Name, Outcome};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+pub type Labels = BTreeMap<Name, Name>;
+pub type Digest = [u8; 32];
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PlanHead {
+    pub version: Name,
+    pub base: Option<Name>,
+    /// Log offset of the batch that began this plan.
+    pub offset: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Service {
+    pub name: Name,
+    pub labels: Labels,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    Lookup,
+    OneTime,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Route {
+    pub path: Name,
+    pub methods: Vec<Name>,
+    pub kind: Kind,
+    pub service: Name,
+    pub when: Option<String>,
+    pub bodyBytes: u64,
+    pub ratePerS: Option<u64>,
+    pub concurrency: Option<u64>,
+    pub deadlineMs: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Target {
+    pub instance: Name,
+    pub service: Name,
+    pub address: SocketAddr,
+    pub zone: Name,
+    pub labels: Labels,
+    pub draining: bool,
+    pub down: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Node {
+    pub incarnation: Incarnation,
+    pub name: Name,
+    pub address: SocketAddr,
+    pub http: SocketAddr,
+    pub zone: Name,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Settlement {
+    Ran,
+    Unsent,
+    Unknown,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Kept {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ticket {
+    pub key: Name,
+    pub digest: Digest,
+    pub service: Name,
+    pub instance: Name,
+    pub node: Incarnation,
+    pub go: u32,
+    pub settled: Option<Settlement>,
+    pub response: Option<Arc<Kept>>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Record {
+    PlanStart { version: Name, base: Option<Name> },
+    PlanText(#[serde(with = "serde_bytes")] Vec<u8>),
+    Service(Service),
+    Route(Route),
+    Target(Target),
+    TargetGone(Name),
+    TargetDown { instance: Name, down: bool },
+    Node(Node),
+    NodeGone(Incarnation),
+    Ticket(Ticket),
+    Settled { key: Name, settlement: Settlement, response: Option<Kept> },
+    TicketsForgotten(Vec<Name>),
+    Lock { name: Name, holder: Name, fence: u64, ttlMs: u64 },
+    LockFreed { name: Name },
+    Number { name: Name, value: u64 },
+    Key { name: Name, key: Option<Key> },
+    Repeat { id: Name, outcome: Outcome },
+    RepeatsForgotten(Vec<Name>),
+    HistoryTrimmed { floor: u64 },
+}
+
+impl Record {
+    /// What data nodes need for routing; the rest stays with the control plane.
+    pub fn is_news(&self) -> bool {
+        matches!(
+            self,
+            Record::PlanStart { .. }
+                | Record::Service(_)
+                | Record::Route(_)
+                | Record::Target(_)
+                | Record::TargetGone(_)
+                | Record::TargetDown { .. }
+                | Record::Node(_)
+                | Record::NodeGone(_)
+        )
+    }
+}
+
+pub type Events = Vec<Arc<Event>>;
--- /dev/null
+++ b/crates/transactions/src/writer.rs
@@ -0,0 +1,77 @@
+use crate::{Image, Line, cut};
+use postbarrow_constants::plans::{DELTA_BYTES, TRANSACTION_OPEN_MS};
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Refusal {
+    AlreadyOpen,
+    NoneOpen,
+    OverDelta,
+}
+
+struct Open<I> {
+    sinceMs: u64,
+    sizeBytes: usize,
+    rollback: I,
+}
+
+/// The single writer's side: optimistic state, and the clone kept at Begin to go back to.
+pub struct Writer<I> {
+    term: u64,
+    current: I,
+    open: Option<Open<I>>,
+}
+
+impl<I: Image> Writer<I> {
+    pub fn new(term: u64, committed: I) -> Self {
+        Writer { term, current: committed, open: None }
+    }
+
+    pub fn begin(&mut self, nowMs: u64, name: &str) -> Result<Line<I::Record>, Refusal> {
+        if self.open.is_some() {
+            return Err(Refusal::AlreadyOpen);
+        }
+        self.open = Some(Open { sinceMs: nowMs, sizeBytes: 0, rollback: self.current.clone() });
+        Ok(Line::begin(&cut(name)))
+    }
+
+    /// Counts a batch of the open transaction against the delta's bound.
+    pub fn grow(&mut self, sizeBytes: usize) -> Result<(), Refusal> {
+        let open = self.open.as_mut().ok_or(Refusal::NoneOpen)?;
+        open.sizeBytes += sizeBytes;
+        if open.sizeBytes > DELTA_BYTES { Err(Refusal::OverDelta) } else { Ok(()) }
+    }
+
+    pub fn apply(&mut self, offset: u64, record: &I::Record) {
+        self.current.apply(offset, record);
+    }
+
+    pub fn end(&mut self) -> Result<Line<I::Record>, Refusal> {
+        self.open.take().map(|_| Line::End).ok_or(Refusal::NoneOpen)
+    }
+
+    pub fn abort(&mut self, reason: &str) -> Result<Line<I::Record>, Refusal> {
+        let open = self.open.take().ok_or(Refusal::NoneOpen)?;
+        self.current = open.rollback;
+        Ok(Line::abort(reason))
+    }
+
+    pub fn is_overdue(&self, nowMs: u64) -> bool {
+        self.open.as_ref().is_some_and(|open| nowMs >= open.sinceMs + TRANSACTION_OPEN_MS)
+    }
+
+    pub fn open_ms(&self, nowMs: u64) -> Option<u64> {
+        self.open.as_ref().map(|open| nowMs.saturating_sub(open.sinceMs))
+    }
+    pub fn current(&self) -> &I {
+        &self.current
+    }
+    pub fn rollback(&self) -> Option<&I> {
+        self.open.as_ref().map(|open| &open.rollback)
+    }
+    pub fn is_open(&self) -> bool {
+        self.open.is_some()
+    }
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+}
