--- a/crates/consensus/src/members.rs
+++ b/crates/consensus/src/members.rs
@@ -4,7 +4,10 @@
 impl Consensus {
     /// First start of three empty disks that all named the same three.
     pub(crate) fn form(&mut self, members: Vec<Member>) {
-        if !self.is_fresh() || !members.iter().any(|member| member.id == self.id) {
+        if !self.is_fresh()
+            || self.log.last() > 0
+            || !members.iter().any(|member| member.id == self.id)
+        {
             return;
         }
         let snapshot = Arc::new(Snapshot { index: 0, term: 0, members, state: Vec::new() });
@@ -16,7 +19,10 @@
         if self.role != Role::Leader || member.id == self.id {
             return;
         }
-        if self.log.is_member(member.id) {
+        if let Some(known) = self.log.members().iter().find(|known| known.id == member.id) {
+            if known.address != member.address && self.log.config_index() <= self.commit {
+                self.move_member(nowMs, member);
+            }
             return;
         }
         let next = self.log.last() + 1;
@@ -60,6 +66,15 @@
         }
     }
 
+    /// The same disk at another address: the same voters, so one step does.
+    fn move_member(&mut self, nowMs: u64, moved: Member) {
+        let mut members = self.log.members().to_vec();
+        members.retain(|member| member.id != moved.id);
+        members.push(moved);
+        self.progress.remove(&moved.id);
+        self.propose_members(nowMs, members);
+    }
+
     fn propose_members(&mut self, nowMs: u64, members: Vec<Member>) {
         self.append_own(nowMs, vec![Payload::Members(members.clone())]);
         let next = self.log.last() + 1;
--- a/crates/consensus/src/replicate.rs
+++ b/crates/consensus/src/replicate.rs
@@ -82,8 +82,11 @@
         self.set_election(nowMs);
         let mut response =
             AppendResponse { term: self.term, matched: None, hint: 0, sentMs: append.sentMs };
+        if self.is_fresh() {
+            return self.send(from, Message::AppendResponse(response));
+        }
         if append.prev < self.log.base() {
-            response.hint = self.log.base().max(self.commit) + 1;
+            response.hint = self.commit + 1;
             return self.send(from, Message::AppendResponse(response));
         }
         if self.log.term_at(append.prev) != Some(append.prevTerm) {
@@ -153,6 +156,7 @@
                     self.send_append(nowMs, from.id, false);
                 }
             }
+            None if got.hint == 0 => self.send_snapshot(nowMs, from.id),
             None => {
                 known.next = got.hint.clamp(known.matched + 1, last + 1);
                 self.send_append(nowMs, from.id, true);
--- a/crates/consensus/src/snapshot.rs
+++ b/crates/consensus/src/snapshot.rs
@@ -100,7 +100,7 @@
     }
 
     fn install(&mut self, snapshot: Arc<Snapshot>) {
-        if self.log.term_at(snapshot.index) == Some(snapshot.term) {
+        if !self.is_fresh() && self.log.term_at(snapshot.index) == Some(snapshot.term) {
             self.log.drop_front(snapshot.index);
         } else {
             self.log.reset(&snapshot);
--- a/crates/constants/src/traffic.rs
+++ b/crates/constants/src/traffic.rs
@@ -59,3 +59,7 @@
 pub const STOP_UNREADY_MS: u64 = 1_000;
 /// Clean stop: asks in flight get this long.
 pub const STOP_WAIT_MS: u64 = 20_000;
+/// A target in another zone must be this much emptier before it is taken instead.
+pub const ZONE_SLACK_ASKS: u64 = 4;
+/// A target that failed here is passed over this long while others are there.
+pub const FAILED_PAUSE_MS: u64 = 1_000;
--- /dev/null
+++ b/crates/controller/src/calls.rs
@@ -0,0 +1,188 @@
+use crate::{ControlNode, Origin};
+use postbarrow_constants::consensus::HEARTBEAT_MS;
+use postbarrow_constants::coordination::*;
+use postbarrow_messages::Response;
+use postbarrow_state::{Call, Key, Name, Outcome, Record, State};
+
+impl ControlNode {
+    pub(crate) fn on_call(&mut self, nowMs: u64, origin: Origin, id: Option<Name>, call: Call) {
+        if let Err(why) = sound(&call) {
+            return self.respond(origin, Response::Refused(why));
+        }
+        match &call {
+            Call::ReadLock { .. } | Call::ReadNumber { .. } | Call::ReadKey { .. } => {
+                if !self.refuse_without_hold(nowMs, origin) {
+                    let outcome = read(self.committed(), &call);
+                    self.respond(origin, Response::Outcome(outcome));
+                }
+            }
+            Call::Watch { sort, prefix, after } => {
+                if !self.refuse_without_hold(nowMs, origin) {
+                    self.on_watch(nowMs, origin, *sort, prefix.clone(), *after);
+                }
+            }
+            _ => self.on_write(nowMs, origin, id, call),
+        }
+    }
+
+    fn on_write(&mut self, nowMs: u64, origin: Origin, id: Option<Name>, call: Call) {
+        let Some(state) = self.current() else { return };
+        if let Some(known) = id.as_ref().and_then(|id| state.repeats.get(id)) {
+            let outcome = known.as_ref().clone();
+            return self.reply_settled(origin, Response::Outcome(outcome));
+        }
+        let (outcome, mut records) = decide(state, &call);
+        if let (Outcome::Locked { ttlMs, .. }, Call::Lock { name, .. } | Call::Renew { name, .. }) =
+            (&outcome, &call)
+        {
+            if !self.holds(nowMs) {
+                return self.respond(origin, Response::NotController { controller: None });
+            }
+            if let Some(lead) = &mut self.lead {
+                lead.locksDueMs.insert(name.clone(), nowMs + ttlMs);
+            }
+        }
+        if records.is_empty() {
+            return self.reply_settled(origin, Response::Outcome(outcome));
+        }
+        if let Some(id) = id {
+            records.push(Record::Repeat { id, outcome: outcome.clone() });
+        }
+        let offset = self.propose(nowMs, records);
+        self.reply_at(offset, origin, Response::Outcome(outcome));
+    }
+
+    /// Ends locks whose time is up. A controller that stood still gives its holders that time back.
+    pub(crate) fn lock_pulse(&mut self, nowMs: u64, gapMs: u64) {
+        let open = self.is_open();
+        let Some(lead) = &mut self.lead else { return };
+        if gapMs > HEARTBEAT_MS {
+            lead.locksDueMs.values_mut().for_each(|dueMs| *dueMs += gapMs);
+        }
+        if open {
+            return;
+        }
+        let due: Vec<Name> = lead
+            .locksDueMs
+            .iter()
+            .filter(|(_, dueMs)| **dueMs <= nowMs)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in &due {
+            lead.locksDueMs.remove(name);
+        }
+        let held = |name: &Name| self.current().is_some_and(|state| state.locks.contains_key(name));
+        let freed: Vec<Record> =
+            due.into_iter().filter(held).map(|name| Record::LockFreed { name }).collect();
+        if !freed.is_empty() {
+            self.propose(nowMs, freed);
+        }
+    }
+}
+
+fn sound(call: &Call) -> Result<(), String> {
+    let (name, holder) = match call {
+        Call::Lock { name, holder, .. }
+        | Call::Renew { name, holder, .. }
+        | Call::Free { name, holder, .. } => (name, Some(holder)),
+        Call::ReadLock { name }
+        | Call::Next { name, .. }
+        | Call::ReadNumber { name }
+        | Call::Put { name, .. }
+        | Call::Remove { name, .. }
+        | Call::ReadKey { name } => (name, None),
+        Call::Watch { prefix, .. } => return within("prefix", prefix.len(), 0, NAME_BYTES),
+    };
+    within("name", name.len(), 1, NAME_BYTES)?;
+    if let Some(holder) = holder {
+        within("holder", holder.len(), 1, NAME_BYTES)?;
+    }
+    match call {
+        Call::Lock { ttlMs, .. } if !(LOCK_TTL_LEAST_MS..=LOCK_TTL_MOST_MS).contains(ttlMs) => {
+            Err(format!("ttlMs must be from {LOCK_TTL_LEAST_MS} to {LOCK_TTL_MOST_MS}"))
+        }
+        Call::Put { value, .. } => within("value", value.len(), 0, VALUE_BYTES),
+        Call::Next { by: 0, .. } => Err("by must be at least 1".into()),
+        _ => Ok(()),
+    }
+}
+
+fn within(what: &str, length: usize, least: usize, most: usize) -> Result<(), String> {
+    if (least..=most).contains(&length) {
+        Ok(())
+    } else {
+        Err(format!("{what} must have {least} to {most} bytes"))
+    }
+}
+
+fn read(state: &State, call: &Call) -> Outcome {
+    match call {
+        Call::ReadLock { name } => match state.locks.get(name) {
+            Some(lock) => Outcome::Held { fence: lock.fence },
+            None => Outcome::NoLock,
+        },
+        Call::ReadNumber { name } => Outcome::Number(state.numbers.get(name).copied().unwrap_or(0)),
+        Call::ReadKey { name } => match state.keys.get(name) {
+            Some(key) => Outcome::Key(key.as_ref().clone()),
+            None => Outcome::NoKey,
+        },
+        _ => Outcome::NoKey,
+    }
+}
+
+fn decide(state: &State, call: &Call) -> (Outcome, Vec<Record>) {
+    match call {
+        Call::Lock { name, holder, ttlMs } => match state.locks.get(name) {
+            Some(lock) if lock.holder == *holder => {
+                (Outcome::Locked { fence: lock.fence, ttlMs: lock.ttlMs }, Vec::new())
+            }
+            Some(lock) => (Outcome::Held { fence: lock.fence }, Vec::new()),
+            None => {
+                let (fence, ttlMs) = (state.fence + 1, *ttlMs);
+                let record =
+                    Record::Lock { name: name.clone(), holder: holder.clone(), fence, ttlMs };
+                (Outcome::Locked { fence, ttlMs }, vec![record])
+            }
+        },
+        Call::Renew { name, holder, fence } => match state.locks.get(name) {
+            Some(lock) if lock.holder == *holder && lock.fence == *fence => {
+                (Outcome::Locked { fence: *fence, ttlMs: lock.ttlMs }, Vec::new())
+            }
+            _ => (Outcome::NotHeld, Vec::new()),
+        },
+        Call::Free { name, holder, fence } => match state.locks.get(name) {
+            Some(lock) if lock.holder == *holder && lock.fence == *fence => {
+                (Outcome::Freed, vec![Record::LockFreed { name: name.clone() }])
+            }
+            _ => (Outcome::NotHeld, Vec::new()),
+        },
+        Call::Next { name, by } => {
+            let now = state.numbers.get(name).copied().unwrap_or(0);
+            match now.checked_add(*by) {
+                Some(value) => {
+                    (Outcome::Number(value), vec![Record::Number { name: name.clone(), value }])
+                }
+                None => (Outcome::Conflict { revision: now }, Vec::new()),
+            }
+        }
+        Call::Put { name, value, revision } => {
+            let now = state.keys.get(name).map_or(0, |key| key.revision);
+            if revision.is_some_and(|asked| asked != now) {
+                return (Outcome::Conflict { revision: now }, Vec::new());
+            }
+            let key = Key { value: value.clone(), revision: state.revision + 1 };
+            (Outcome::Key(key.clone()), vec![Record::Key { name: name.clone(), key: Some(key) }])
+        }
+        Call::Remove { name, revision } => match state.keys.get(name) {
+            None => (Outcome::NoKey, Vec::new()),
+            Some(key) if revision.is_some_and(|asked| asked != key.revision) => {
+                (Outcome::Conflict { revision: key.revision }, Vec::new())
+            }
+            Some(_) => {
+                let revision = state.revision + 1;
+                (Outcome::Removed { revision }, vec![Record::Key { name: name.clone(), key: None }])
+            }
+        },
+        _ => (Outcome::NoKey, Vec::new()),
+    }
+}
--- /dev/null
+++ b/crates/controller/src/greet.rs
@@ -0,0 +1,125 @@
+use crate::ControlNode;
+use postbarrow_consensus::{self as consensus, Member, MemberId};
+use postbarrow_constants::consensus::{ELECTION_MIN_MS, GREET_MS, VOTERS};
+use postbarrow_constants::nodes::INTRODUCTIONS;
+use postbarrow_messages::{Greet, Message};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+struct Heard {
+    member: Member,
+    knows: BTreeSet<MemberId>,
+    atMs: u64,
+}
+
+/// Addresses that may lead to the others; nobody here is trusted with more than that.
+pub(crate) struct Book {
+    own: SocketAddr,
+    addresses: BTreeSet<SocketAddr>,
+    fresh: BTreeMap<MemberId, Heard>,
+    formed: bool,
+    dueMs: u64,
+    leaderMs: u64,
+}
+
+const HEARD_KEEP_MS: u64 = 10 * GREET_MS;
+
+impl Book {
+    pub fn new(seeds: &[SocketAddr], own: SocketAddr) -> Self {
+        let addresses = seeds.iter().copied().filter(|seed| *seed != own).collect();
+        Book { own, addresses, fresh: BTreeMap::new(), formed: false, dueMs: 0, leaderMs: 0 }
+    }
+
+    fn add(&mut self, address: SocketAddr) {
+        if address != self.own && self.addresses.len() < INTRODUCTIONS {
+            self.addresses.insert(address);
+        }
+    }
+}
+
+impl ControlNode {
+    /// Who is new, left out or without a leader for long makes itself known.
+    pub(crate) fn greet_pulse(&mut self, nowMs: u64) {
+        if self.consensus.leader().is_some() || self.lead.is_some() {
+            self.book.leaderMs = nowMs;
+        }
+        let member = self.consensus.members().contains(&self.own);
+        let lost = nowMs > self.book.leaderMs + 3 * ELECTION_MIN_MS;
+        if nowMs < self.book.dueMs || (member && !lost) {
+            return;
+        }
+        self.book.dueMs = nowMs + GREET_MS;
+        let own = self.own;
+        let fresh = self.consensus.is_fresh();
+        self.book.fresh.retain(|_, heard| nowMs < heard.atMs + HEARD_KEEP_MS);
+        let mut knows: BTreeSet<MemberId> = self.book.fresh.keys().copied().collect();
+        knows.insert(self.own.id);
+        let greet = Greet { member: self.own, fresh, knows: knows.iter().copied().collect() };
+        let known: BTreeSet<SocketAddr> =
+            self.consensus.members().iter().map(|one| one.address).collect();
+        let to: BTreeSet<SocketAddr> = known.union(&self.book.addresses).copied().collect();
+        for address in to.into_iter().filter(|address| *address != own.address) {
+            self.send(address, Message::Greet(greet.clone()));
+            self.send(address, Message::Introduce);
+        }
+        if fresh {
+            self.try_form(nowMs, knows);
+        }
+    }
+
+    /// The lowest of three empty disks begins the log, once all three named the same three
+    /// and nobody reached knows of a log already.
+    fn try_form(&mut self, nowMs: u64, knows: BTreeSet<MemberId>) {
+        let agreed = self.book.fresh.values().all(|heard| heard.knows == knows);
+        let first = knows.first() == Some(&self.own.id);
+        if self.book.formed || knows.len() != VOTERS || !agreed || !first {
+            return;
+        }
+        let mut members: Vec<Member> = self.book.fresh.values().map(|heard| heard.member).collect();
+        members.push(self.own);
+        members.sort_unstable();
+        self.say("begins a new log with two others".into());
+        self.log(nowMs, consensus::Input::Form(members.clone()));
+        let own = self.own;
+        for member in members.iter().filter(|member| **member != own) {
+            self.send(member.address, Message::Form(members.clone()));
+        }
+    }
+
+    pub(crate) fn on_greet(&mut self, nowMs: u64, from: SocketAddr, greet: Greet) {
+        self.book.add(from);
+        if self.consensus.is_fresh() {
+            if greet.fresh {
+                let knows = greet.knows.into_iter().collect();
+                let heard = Heard { member: greet.member, knows, atMs: nowMs };
+                self.book.fresh.insert(greet.member.id, heard);
+            } else {
+                self.book.formed = true;
+            }
+            return;
+        }
+        let begun = self.consensus.log().members_at(0);
+        if greet.fresh && begun.contains(&greet.member) && self.consensus.log().base() == 0 {
+            return self.send(from, Message::Form(begun));
+        }
+        self.log(nowMs, consensus::Input::Learner(greet.member));
+    }
+
+    pub(crate) fn introduce(&mut self, from: SocketAddr) {
+        let members: Vec<SocketAddr> =
+            self.consensus.members().iter().map(|member| member.address).collect();
+        let formed = !self.consensus.is_fresh();
+        let mut control = members;
+        if !formed {
+            control.extend(self.book.addresses.iter().copied());
+        }
+        self.send(from, Message::Introduction { control, formed });
+    }
+
+    pub(crate) fn on_introduction(&mut self, control: Vec<SocketAddr>, formed: bool) {
+        self.book.formed |= formed;
+        for address in control.into_iter().take(INTRODUCTIONS) {
+            self.book.add(address);
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/lead.rs
@@ -0,0 +1,165 @@
+use crate::list::Walk;
+use crate::nodes::Seen;
+use crate::submit::Open;
+use crate::watches::Parked;
+use crate::{ControlNode, Origin};
+use postbarrow_messages::{Ask, Response};
+use postbarrow_state::{Incarnation, Name, Record, State};
+use postbarrow_transactions::{Line, Writer, encode};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// What only the controller has; gone when it is deposed, rebuilt from the log at take-over.
+pub(crate) struct Lead {
+    pub term: u64,
+    pub ready: bool,
+    pub writer: Option<Writer<State>>,
+    pub replies: VecDeque<(u64, Origin, Response)>,
+    pub waiting: VecDeque<(u64, Origin, Ask)>,
+    pub open: Option<Open>,
+    pub locksDueMs: BTreeMap<Name, u64>,
+    pub settledMs: HashMap<Name, u64>,
+    pub settledQueue: VecDeque<(u64, Name)>,
+    pub repeatQueue: VecDeque<(u64, Name)>,
+    pub historyMarks: VecDeque<(u64, u64)>,
+    pub nodes: BTreeMap<Incarnation, Seen>,
+    pub walk: Walk,
+    pub parked: Vec<Parked>,
+    pub forgetDueMs: u64,
+    pub conditionDueMs: u64,
+    pub longestStallMs: u64,
+    pub sinceMs: u64,
+}
+
+impl Lead {
+    pub fn new(term: u64, nowMs: u64) -> Self {
+        Lead {
+            term,
+            ready: false,
+            writer: None,
+            replies: VecDeque::new(),
+            waiting: VecDeque::new(),
+            open: None,
+            locksDueMs: BTreeMap::new(),
+            settledMs: HashMap::new(),
+            settledQueue: VecDeque::new(),
+            repeatQueue: VecDeque::new(),
+            historyMarks: VecDeque::new(),
+            nodes: BTreeMap::new(),
+            walk: Walk::new(nowMs),
+            parked: Vec::new(),
+            forgetDueMs: 0,
+            conditionDueMs: 0,
+            longestStallMs: 0,
+            sinceMs: nowMs,
+        }
+    }
+}
+
+impl ControlNode {
+    /// Once this term's first entry is committed: abort what a dead controller left open, then serve.
+    pub(crate) fn take_over(&mut self, nowMs: u64) {
+        let Some(lead) = &mut self.lead else { return };
+        if lead.ready || !self.consensus.is_ready() {
+            return;
+        }
+        let state = self.tail.image().as_ref().clone();
+        lead.ready = true;
+        lead.sinceMs = nowMs;
+        lead.locksDueMs =
+            state.locks.iter().map(|(name, lock)| (name.clone(), nowMs + lock.ttlMs)).collect();
+        for (key, ticket) in &state.tickets {
+            if ticket.settled.is_some() {
+                lead.settledMs.insert(key.clone(), nowMs);
+                lead.settledQueue.push_back((nowMs, key.clone()));
+            }
+        }
+        lead.repeatQueue = state.repeats.keys().map(|id| (nowMs, id.clone())).collect();
+        lead.historyMarks.push_back((nowMs, state.revision));
+        lead.nodes = state.nodes.keys().map(|node| (*node, Seen::at(nowMs))).collect();
+        let orphans = crate::nodes::open_tickets(&state, |node| !state.nodes.contains_key(&node));
+        let aborted = self.tail.open_name().map(str::to_string);
+        lead.writer = Some(Writer::new(lead.term, state));
+        if self.tail.is_open() {
+            let name = aborted.unwrap_or_default();
+            self.say(format!("aborts {name:?}, left open by an earlier controller"));
+            self.propose_lines(nowMs, vec![Line::abort("the controller that began it is gone")]);
+        }
+        if !orphans.is_empty() {
+            self.propose(nowMs, orphans);
+        }
+    }
+
+    /// A higher term or a lost majority: optimistic state goes, the committed tail stays.
+    pub(crate) fn step_down(&mut self) {
+        let Some(lead) = self.lead.take() else { return };
+        self.say(format!("no longer leads term {}", lead.term));
+        for (_, origin, _) in lead.replies {
+            self.respond(origin, Response::Lost);
+        }
+        if let Some(open) = lead.open {
+            self.respond(open.origin, Response::Lost);
+        }
+        for (_, origin, _) in lead.waiting {
+            self.respond(origin, Response::NotController { controller: None });
+        }
+        for parked in lead.parked {
+            self.respond(parked.origin, Response::NotController { controller: None });
+        }
+        self.relay.clear();
+    }
+
+    /// One atomic batch of records outside any transaction, or of the one that is open.
+    pub(crate) fn propose(&mut self, nowMs: u64, records: Vec<Record>) -> u64 {
+        self.propose_lines(nowMs, records.into_iter().map(Line::Data).collect())
+    }
+
+    pub(crate) fn propose_lines(&mut self, nowMs: u64, lines: Vec<Line<Record>>) -> u64 {
+        let offset = self.consensus.last() + 1;
+        let writer = self.lead.as_mut().and_then(|lead| lead.writer.as_mut());
+        if let Some(writer) = writer {
+            for line in &lines {
+                if let Line::Data(record) = line {
+                    writer.apply(offset, record);
+                }
+            }
+        }
+        let bytes = encode(&lines);
+        self.log(nowMs, postbarrow_consensus::Input::Propose(vec![bytes]));
+        offset
+    }
+
+    pub(crate) fn reply_at(&mut self, offset: u64, origin: Origin, response: Response) {
+        if self.consensus.commit() >= offset {
+            return self.respond(origin, response);
+        }
+        if let Some(lead) = &mut self.lead {
+            lead.replies.push_back((offset, origin, response));
+        }
+    }
+
+    /// For a response that rests on optimistic state: it waits until all of that is committed.
+    pub(crate) fn reply_settled(&mut self, origin: Origin, response: Response) {
+        self.reply_at(self.consensus.last(), origin, response);
+    }
+
+    /// Optimistic state, of a controller that serves.
+    pub(crate) fn current(&self) -> Option<&State> {
+        self.lead.as_ref()?.writer.as_ref().map(Writer::current)
+    }
+
+    pub(crate) fn is_open(&self) -> bool {
+        self.lead.as_ref().is_some_and(|lead| lead.open.is_some())
+    }
+
+    pub(crate) fn lead_pulse(&mut self, nowMs: u64, gapMs: u64) {
+        if !self.is_leading() {
+            return;
+        }
+        self.lock_pulse(nowMs, gapMs);
+        self.submit_pulse(nowMs);
+        self.list_pulse(nowMs);
+        self.node_pulse(nowMs);
+        self.forget_pulse(nowMs);
+        self.watch_pulse(nowMs);
+    }
+}
--- /dev/null
+++ b/crates/controller/src/nodes.rs
@@ -0,0 +1,148 @@
+use crate::ControlNode;
+use postbarrow_constants::nodes::*;
+use postbarrow_membership::watchers;
+use postbarrow_messages::{Fresh, FreshAsk, Message};
+use postbarrow_state::{Incarnation, Name, Record, Settlement, State};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// What the controller last heard of one data node.
+pub(crate) struct Seen {
+    pub lastMs: u64,
+    pub published: u64,
+    pub version: Option<Name>,
+    pub ready: bool,
+    pub failing: BTreeSet<Name>,
+    pub suspects: Vec<Incarnation>,
+}
+
+impl Seen {
+    pub fn at(nowMs: u64) -> Self {
+        Seen {
+            lastMs: nowMs,
+            published: 0,
+            version: None,
+            ready: false,
+            failing: BTreeSet::new(),
+            suspects: Vec::new(),
+        }
+    }
+}
+
+impl ControlNode {
+    pub(crate) fn on_fresh(&mut self, nowMs: u64, from: SocketAddr, ask: FreshAsk) {
+        let members: Vec<SocketAddr> =
+            self.consensus.members().iter().map(|member| member.address).collect();
+        if !self.holds(nowMs) {
+            let controller = self.consensus.leader().map(|leader| leader.address);
+            let controller = controller.filter(|address| *address != self.own.address);
+            let fresh = Fresh::NotController { controller, members };
+            return self.send(from, Message::FreshResponse { number: ask.number, fresh });
+        }
+        let number = ask.number;
+        self.register(nowMs, ask);
+        let fresh =
+            Fresh::Granted { term: self.consensus.term(), watermark: self.imageOffset, members };
+        self.send(from, Message::FreshResponse { number, fresh });
+    }
+
+    fn register(&mut self, nowMs: u64, ask: FreshAsk) {
+        let known = self.current().and_then(|state| state.nodes.get(&ask.node.incarnation));
+        let absent = known.is_none_or(|known| **known != ask.node);
+        if absent && !self.is_open() {
+            self.say(format!("node {} joins from {}", ask.node.name, ask.node.address));
+            self.propose(nowMs, vec![Record::Node(ask.node.clone())]);
+        }
+        let Some(lead) = &mut self.lead else { return };
+        let seen = Seen {
+            lastMs: nowMs,
+            published: ask.published,
+            version: ask.version,
+            ready: ask.ready,
+            failing: ask.failing.into_iter().collect(),
+            suspects: ask.suspects,
+        };
+        lead.nodes.insert(ask.node.incarnation, seen);
+    }
+
+    pub(crate) fn node_pulse(&mut self, nowMs: u64) {
+        let open = self.is_open();
+        let Some(lead) = &mut self.lead else { return };
+        if open || nowMs < lead.conditionDueMs {
+            return;
+        }
+        lead.conditionDueMs = nowMs + FRESH_MS;
+        let Some(state) = lead.writer.as_ref().map(|writer| writer.current().clone()) else {
+            return;
+        };
+        lead.nodes.retain(|node, _| state.nodes.contains_key(node));
+        for node in state.nodes.keys() {
+            lead.nodes.entry(*node).or_insert_with(|| Seen::at(nowMs));
+        }
+        let silent = lead.nodes.iter().filter(|(_, seen)| nowMs > seen.lastMs + NODE_GONE_MS);
+        let mut gone: BTreeSet<Incarnation> = silent.map(|(node, _)| *node).collect();
+        gone.extend(suspected(nowMs, &lead.nodes));
+        let mut records: Vec<Record> = gone.iter().map(|node| Record::NodeGone(*node)).collect();
+        if !gone.is_empty() {
+            records.extend(open_tickets(&state, |node| gone.contains(&node)));
+            self.say(format!("{} nodes are gone", gone.len()));
+        }
+        records.extend(self.target_conditions(nowMs, &state));
+        if !records.is_empty() {
+            self.propose(nowMs, records);
+        }
+    }
+
+    /// A target is down while more than half of the heard nodes fail to probe it.
+    fn target_conditions(&self, nowMs: u64, state: &State) -> Vec<Record> {
+        let Some(lead) = &self.lead else { return Vec::new() };
+        let heard: Vec<&Seen> =
+            lead.nodes.values().filter(|seen| nowMs <= seen.lastMs + REPORT_KEEP_MS).collect();
+        if heard.is_empty() {
+            return Vec::new();
+        }
+        let mut records = Vec::new();
+        for (instance, target) in &state.targets {
+            let failing = heard.iter().filter(|seen| seen.failing.contains(instance)).count();
+            let down = failing * 2 > heard.len();
+            if down != target.down {
+                records.push(Record::TargetDown { instance: instance.clone(), down });
+            }
+        }
+        records
+    }
+
+    pub(crate) fn seen(&self) -> Option<&BTreeMap<Incarnation, Seen>> {
+        self.lead.as_ref().map(|lead| &lead.nodes)
+    }
+}
+
+/// Silent here beyond its hold, and on the ring in the eyes of most of its watchers.
+fn suspected(nowMs: u64, nodes: &BTreeMap<Incarnation, Seen>) -> Vec<Incarnation> {
+    let ring: Vec<Incarnation> = nodes.keys().copied().collect();
+    let silent = nodes.iter().filter(|(_, seen)| nowMs > seen.lastMs + NODE_HOLD_MS * 3 / 2);
+    silent
+        .filter(|(node, _)| {
+            let watchers = watchers(**node, &ring);
+            let agree = watchers.iter().filter(|watcher| {
+                nodes.get(watcher).is_some_and(|seen| seen.suspects.contains(node))
+            });
+            agree.count() * 2 > watchers.len()
+        })
+        .map(|(node, _)| *node)
+        .collect()
+}
+
+/// Settles what nodes that are gone left open: nobody can say whether it ran.
+pub(crate) fn open_tickets(state: &State, of: impl Fn(Incarnation) -> bool) -> Vec<Record> {
+    state
+        .tickets
+        .values()
+        .filter(|ticket| ticket.settled.is_none() && of(ticket.node))
+        .map(|ticket| Record::Settled {
+            key: ticket.key.clone(),
+            settlement: Settlement::Unknown,
+            response: None,
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/controller/src/operator.rs
@@ -0,0 +1,91 @@
+use crate::{ControlNode, Origin};
+use facet::Facet;
+use postbarrow_messages::Response;
+use postbarrow_plan::Rehearsal;
+use postbarrow_state::State;
+
+#[derive(Facet)]
+#[facet(rename_all = "camelCase")]
+pub(crate) struct Submitted {
+    version: String,
+    in_force: bool,
+    dry_run: bool,
+    /// Log offset at which this plan began, and at which it was closed; none on a repeat.
+    began_at: Option<u64>,
+    ended_at: Option<u64>,
+    rehearsal: Option<Rehearsal>,
+}
+
+impl Submitted {
+    pub fn new(version: &str, began: u64, ended: u64, rehearsal: Rehearsal) -> Self {
+        Submitted {
+            version: version.into(),
+            in_force: true,
+            dry_run: false,
+            began_at: Some(began),
+            ended_at: Some(ended),
+            rehearsal: Some(rehearsal),
+        }
+    }
+
+    pub fn again(state: &State) -> Self {
+        Submitted {
+            version: state.plan_version().unwrap_or_default().into(),
+            in_force: true,
+            dry_run: false,
+            began_at: state.plan.as_ref().map(|plan| plan.offset),
+            ended_at: None,
+            rehearsal: None,
+        }
+    }
+
+    pub fn dry(version: &str, rehearsal: Rehearsal) -> Self {
+        Submitted {
+            version: version.into(),
+            in_force: false,
+            dry_run: true,
+            began_at: None,
+            ended_at: None,
+            rehearsal: Some(rehearsal),
+        }
+    }
+}
+
+#[derive(Facet)]
+#[facet(rename_all = "camelCase")]
+pub(crate) struct Refused {
+    error: String,
+    version_in_force: Option<String>,
+}
+
+impl Refused {
+    pub fn new(error: &str, in_force: Option<&str>) -> Self {
+        Refused { error: error.into(), version_in_force: in_force.map(str::to_string) }
+    }
+}
+
+pub(crate) fn json<'f, T: Facet<'f>>(status: u16, value: &T) -> Response {
+    let body = facet_json::to_vec(value).unwrap_or_else(|error| {
+        format!("{{\"error\":\"a response could not be written: {error}\"}}").into_bytes()
+    });
+    Response::Operator { status, body }
+}
+
+impl ControlNode {
+    /// Exactly what is in force, byte for byte.
+    pub(crate) fn on_show(&mut self, nowMs: u64, origin: Origin) {
+        if self.refuse_without_hold(nowMs, origin) {
+            return;
+        }
+        let state = self.tail.image();
+        let response = match &state.plan {
+            Some(plan) => Response::Plan {
+                version: plan.version.clone(),
+                offset: plan.offset,
+                text: state.plan_text(),
+            },
+            None => json(404, &Refused::new("no plan is in force", None)),
+        };
+        self.respond(origin, response);
+    }
+}
--- /dev/null
+++ b/crates/controller/src/page.rs
@@ -0,0 +1,65 @@
+use compact_str::CompactString;
+use postbarrow_constants::nodes::LIST_PAGE_BYTES;
+use postbarrow_reading::{Fields, Findings, Reading, Value, text};
+use postbarrow_state::{Labels, Target};
+use std::net::SocketAddr;
+
+/// One page of the platform's list.
+#[derive(Debug)]
+pub struct Listed {
+    pub targets: Vec<Target>,
+    pub next: Option<String>,
+}
+
+/// Reads a page whole or not at all.
+pub fn read_page(bytes: &[u8]) -> Result<Listed, Findings> {
+    if bytes.len() > LIST_PAGE_BYTES {
+        return Err(Findings::bare("$", format!("is larger than {LIST_PAGE_BYTES} bytes")));
+    }
+    let given = std::str::from_utf8(bytes).map_err(|error| {
+        Findings::bare("$", format!("is not UTF-8 at byte {}", error.valid_up_to()))
+    })?;
+    let (value, mut reading) = Reading::parse(given)?;
+    let mut page = Listed { targets: Vec::new(), next: None };
+    if let Some(mut fields) = Fields::of(&value, "$", &mut reading) {
+        for (place, value) in fields.array("targets", &mut reading) {
+            if let Some(target) = read_target(value, &place, &mut reading) {
+                page.targets.push(target);
+            }
+        }
+        page.next = fields.text_or_none("next", &mut reading).map(str::to_string);
+    }
+    reading.finish(page)
+}
+
+fn read_target(value: &Value, place: &str, reading: &mut Reading) -> Option<Target> {
+    let mut fields = Fields::of(value, place, reading)?;
+    let instance = fields.text("instance", reading).map(CompactString::from);
+    let service = fields.text("service", reading).map(CompactString::from);
+    let address: Option<SocketAddr> = fields.parsed("address", "an IP address and port", reading);
+    let zone = fields.text_or_none("zone", reading).unwrap_or_default();
+    let draining = match fields.get("draining") {
+        None => false,
+        Some(value) => value.as_bool().unwrap_or_else(|| {
+            reading.find(&fields.place("draining"), "must be true or false".into());
+            false
+        }),
+    };
+    let mut labels = Labels::new();
+    if fields.get("labels").is_some() {
+        for (label, place, value) in fields.named("labels", reading) {
+            if let Some(value) = text(value, &place, reading) {
+                labels.insert(CompactString::from(label), CompactString::from(value));
+            }
+        }
+    }
+    Some(Target {
+        instance: instance?,
+        service: service?,
+        address: address?,
+        zone: CompactString::from(zone),
+        labels,
+        draining,
+        down: false,
+    })
+}
--- /dev/null
+++ b/crates/controller/src/status.rs
@@ -0,0 +1,127 @@
+use crate::operator::json;
+use crate::{ControlNode, Origin};
+use facet::Facet;
+
+#[derive(Facet)]
+#[facet(rename_all = "camelCase")]
+struct MemberRow {
+    id: String,
+    address: String,
+    role: String,
+    silent_ms: u64,
+    lag_entries: u64,
+}
+
+#[derive(Facet)]
+struct MembersTold {
+    members: Vec<MemberRow>,
+}
+
+#[derive(Facet)]
+#[facet(rename_all = "camelCase")]
+struct NodeRow {
+    name: String,
+    incarnation: String,
+    address: String,
+    http: String,
+    zone: String,
+    ready: bool,
+    published: u64,
+    version: Option<String>,
+    silent_ms: u64,
+}
+
+#[derive(Facet)]
+#[facet(rename_all = "camelCase")]
+struct StatusTold {
+    controller: String,
+    term: u64,
+    log_end: u64,
+    watermark: u64,
+    news_watermark: u64,
+    hold_left_ms: u64,
+    version: Option<String>,
+    open_transaction: Option<String>,
+    open_ms: Option<u64>,
+    longest_stall_ms: u64,
+    tickets: u64,
+    open_tickets: u64,
+    locks: u64,
+    keys: u64,
+    numbers: u64,
+    revision: u64,
+    history_floor: u64,
+    nodes: Vec<NodeRow>,
+}
+
+impl ControlNode {
+    pub(crate) fn on_members(&mut self, nowMs: u64, origin: Origin) {
+        if self.refuse_without_hold(nowMs, origin) {
+            return;
+        }
+        let voters = self.consensus.members();
+        let mut members = vec![MemberRow {
+            id: format!("{:016x}", self.own.id),
+            address: self.own.address.to_string(),
+            role: "controller".into(),
+            silent_ms: 0,
+            lag_entries: 0,
+        }];
+        for (member, silentMs, lag) in self.consensus.followers(nowMs) {
+            let voter = voters.iter().any(|known| known.id == member.id);
+            members.push(MemberRow {
+                id: format!("{:016x}", member.id),
+                address: member.address.to_string(),
+                role: if voter { "voter".into() } else { "learner".into() },
+                silent_ms: silentMs,
+                lag_entries: lag,
+            });
+        }
+        self.respond(origin, json(200, &MembersTold { members }));
+    }
+
+    pub(crate) fn on_status(&mut self, nowMs: u64, origin: Origin) {
+        if self.refuse_without_hold(nowMs, origin) {
+            return;
+        }
+        let state = self.committed();
+        let seen = self.seen();
+        let row = |node: &postbarrow_state::Node| {
+            let seen = seen.and_then(|seen| seen.get(&node.incarnation));
+            NodeRow {
+                name: node.name.to_string(),
+                incarnation: format!("{:016x}", node.incarnation),
+                address: node.address.to_string(),
+                http: node.http.to_string(),
+                zone: node.zone.to_string(),
+                ready: seen.is_some_and(|seen| seen.ready),
+                published: seen.map_or(0, |seen| seen.published),
+                version: seen.and_then(|seen| seen.version.as_ref()).map(ToString::to_string),
+                silent_ms: seen.map_or(0, |seen| nowMs.saturating_sub(seen.lastMs)),
+            }
+        };
+        let writer = self.lead.as_ref().and_then(|lead| lead.writer.as_ref());
+        let told = StatusTold {
+            controller: self.own.address.to_string(),
+            term: self.consensus.term(),
+            log_end: self.consensus.last(),
+            watermark: self.consensus.commit(),
+            news_watermark: self.imageOffset,
+            hold_left_ms: self.consensus.hold_until().saturating_sub(nowMs),
+            version: state.plan_version().map(str::to_string),
+            open_transaction: self.tail.open_name().map(str::to_string),
+            open_ms: writer.and_then(|writer| writer.open_ms(nowMs)),
+            longest_stall_ms: self.stall_ms(),
+            tickets: state.tickets.len() as u64,
+            open_tickets: state.tickets.values().filter(|ticket| ticket.settled.is_none()).count()
+                as u64,
+            locks: state.locks.len() as u64,
+            keys: state.keys.len() as u64,
+            numbers: state.numbers.len() as u64,
+            revision: state.revision,
+            history_floor: state.historyFloor,
+            nodes: state.nodes.values().map(|node| row(node)).collect(),
+        };
+        self.respond(origin, json(200, &told));
+    }
+}
--- /dev/null
+++ b/crates/controller/src/targets.rs
@@ -0,0 +1,64 @@
+use crate::operator::json;
+use crate::{ControlNode, Origin};
+use facet::Facet;
+use std::collections::BTreeMap;
+
+#[derive(Facet)]
+struct TargetRow {
+    instance: String,
+    service: String,
+    address: String,
+    zone: String,
+    labels: BTreeMap<String, String>,
+    /// live, draining or down
+    condition: String,
+    services: Vec<String>,
+}
+
+#[derive(Facet)]
+#[facet(rename_all = "camelCase")]
+struct TargetsTold {
+    targets: Vec<TargetRow>,
+    list_walked_ms_ago: Option<u64>,
+    list_finding: Option<String>,
+}
+
+impl ControlNode {
+    pub(crate) fn on_targets(&mut self, nowMs: u64, origin: Origin) {
+        if self.refuse_without_hold(nowMs, origin) {
+            return;
+        }
+        let state = self.committed();
+        let rows = state.targets.values().map(|target| TargetRow {
+            instance: target.instance.to_string(),
+            service: target.service.to_string(),
+            address: target.address.to_string(),
+            zone: target.zone.to_string(),
+            labels: target
+                .labels
+                .iter()
+                .map(|(label, value)| (label.to_string(), value.to_string()))
+                .collect(),
+            condition: match (target.draining, target.down) {
+                (true, _) => "draining".into(),
+                (false, true) => "down".into(),
+                (false, false) => "live".into(),
+            },
+            services: state
+                .services
+                .values()
+                .filter(|service| target.matches(service))
+                .map(|service| service.name.to_string())
+                .collect(),
+        });
+        let walk = self.lead.as_ref().map(|lead| &lead.walk);
+        let told = TargetsTold {
+            targets: rows.collect(),
+            list_walked_ms_ago: walk
+                .and_then(|walk| walk.wholeMs)
+                .map(|atMs| nowMs.saturating_sub(atMs)),
+            list_finding: walk.and_then(|walk| walk.finding.clone()),
+        };
+        self.respond(origin, json(200, &told));
+    }
+}
--- /dev/null
+++ b/crates/controller/src/tickets.rs
@@ -0,0 +1,68 @@
+use crate::{ControlNode, Origin};
+use postbarrow_messages::Response;
+use postbarrow_state::{Kept, Record, Settlement, Ticket};
+
+impl ControlNode {
+    pub(crate) fn on_ticket(&mut self, nowMs: u64, origin: Origin, ticket: Ticket) {
+        let Some(state) = self.current() else { return };
+        if !state.nodes.contains_key(&ticket.node) {
+            return self.respond(origin, Response::Refused("the node is not registered".into()));
+        }
+        let response = match state.tickets.get(&ticket.key) {
+            None => None,
+            Some(known) if known.digest != ticket.digest => Some(Response::OtherDigest),
+            Some(known) if same_go(known, &ticket) && known.settled.is_none() => {
+                Some(Response::Granted)
+            }
+            Some(known) if same_go(known, &ticket) => {
+                Some(Response::Known(known.as_ref().clone().into()))
+            }
+            Some(known) if known.settled == Some(Settlement::Unsent) => None,
+            Some(known) => Some(Response::Known(known.as_ref().clone().into())),
+        };
+        match response {
+            Some(response) => self.reply_settled(origin, response),
+            None => {
+                let clean = Ticket { settled: None, response: None, ..ticket };
+                let offset = self.propose(nowMs, vec![Record::Ticket(clean)]);
+                self.reply_at(offset, origin, Response::Granted);
+            }
+        }
+    }
+
+    /// Only the go that holds the ticket settles it; a go whose ticket never came leaves a settled
+    /// one, so that its late question is not granted any more.
+    pub(crate) fn on_settle(
+        &mut self,
+        nowMs: u64,
+        origin: Origin,
+        ticket: Ticket,
+        settlement: Settlement,
+        response: Option<Kept>,
+    ) {
+        let Some(state) = self.current() else { return };
+        let settled = Record::Settled { key: ticket.key.clone(), settlement, response };
+        let records = match state.tickets.get(&ticket.key) {
+            Some(known) if same_go(known, &ticket) => match known.settled {
+                None | Some(Settlement::Unknown) if known.settled != Some(settlement) => {
+                    vec![settled]
+                }
+                _ => Vec::new(),
+            },
+            Some(_) => Vec::new(),
+            None => {
+                let clean = Ticket { settled: None, response: None, ..ticket };
+                vec![Record::Ticket(clean), settled]
+            }
+        };
+        if records.is_empty() {
+            return self.reply_settled(origin, Response::Settled);
+        }
+        let offset = self.propose(nowMs, records);
+        self.reply_at(offset, origin, Response::Settled);
+    }
+}
+
+fn same_go(known: &Ticket, asked: &Ticket) -> bool {
+    known.node == asked.node && known.number == asked.number
+}
--- /dev/null
+++ b/crates/controller/src/watches.rs
@@ -0,0 +1,100 @@
+use crate::{ControlNode, Origin};
+use postbarrow_constants::coordination::{WATCH_ASK_MS, WATCH_EVENTS};
+use postbarrow_messages::Response;
+use postbarrow_state::{Event, Name, Outcome, Sort, State};
+
+/// A watch with nothing to tell yet.
+pub(crate) struct Parked {
+    pub origin: Origin,
+    sort: Sort,
+    prefix: Name,
+    after: u64,
+    untilMs: u64,
+}
+
+impl ControlNode {
+    pub(crate) fn on_watch(
+        &mut self,
+        nowMs: u64,
+        origin: Origin,
+        sort: Sort,
+        prefix: Name,
+        after: Option<u64>,
+    ) {
+        let state = self.committed();
+        let Some(after) = after else {
+            let outcome = Outcome::Events { events: Vec::new(), next: state.revision };
+            return self.respond(origin, Response::Outcome(outcome));
+        };
+        if after < state.historyFloor || after > state.revision {
+            let outcome = Outcome::TooOld { floor: state.historyFloor };
+            return self.respond(origin, Response::Outcome(outcome));
+        }
+        match events(state, sort, &prefix, after) {
+            Some(outcome) => self.respond(origin, Response::Outcome(outcome)),
+            None => {
+                let untilMs = nowMs + WATCH_ASK_MS;
+                let Some(lead) = &mut self.lead else { return };
+                lead.parked
+                    .retain(|other| other.origin.to != origin.to || other.origin.key != origin.key);
+                lead.parked.push(Parked { origin, sort, prefix, after, untilMs });
+            }
+        }
+    }
+
+    pub(crate) fn tell_watches(&mut self, _nowMs: u64) {
+        let state = self.tail.image().clone();
+        let Some(lead) = &mut self.lead else { return };
+        let mut told = Vec::new();
+        lead.parked.retain(|parked| {
+            match events(&state, parked.sort, &parked.prefix, parked.after) {
+                Some(outcome) => {
+                    told.push((parked.origin, outcome));
+                    false
+                }
+                None => true,
+            }
+        });
+        for (origin, outcome) in told {
+            self.respond(origin, Response::Outcome(outcome));
+        }
+    }
+
+    pub(crate) fn watch_pulse(&mut self, nowMs: u64) {
+        let holds = self.holds(nowMs);
+        let next = self.committed().revision;
+        let Some(lead) = &mut self.lead else { return };
+        let (due, parked) = std::mem::take(&mut lead.parked)
+            .into_iter()
+            .partition::<Vec<_>, _>(|parked| nowMs >= parked.untilMs);
+        lead.parked = parked;
+        for parked in due {
+            let response = if holds {
+                Response::Outcome(Outcome::Events { events: Vec::new(), next })
+            } else {
+                Response::NotController { controller: None }
+            };
+            self.respond(parked.origin, response);
+        }
+    }
+}
+
+/// Events after a revision, oldest first; None when there is none to tell.
+fn events(state: &State, sort: Sort, prefix: &Name, after: u64) -> Option<Outcome> {
+    let fresh = state.revision.saturating_sub(after) as usize;
+    let skipped = state.history.len().saturating_sub(fresh);
+    let matching = |event: &&std::sync::Arc<Event>| {
+        event.revision > after && event.sort() == sort && event.name.starts_with(prefix.as_str())
+    };
+    let found: Vec<Event> = state
+        .history
+        .iter()
+        .skip(skipped)
+        .filter(matching)
+        .take(WATCH_EVENTS)
+        .map(|event| event.as_ref().clone())
+        .collect();
+    let last = found.last()?.revision;
+    let next = if found.len() == WATCH_EVENTS { last } else { state.revision };
+    Some(Outcome::Events { events: found, next })
+}
--- /dev/null
+++ b/crates/desk/src/lib.rs
@@ -0,0 +1,110 @@
+//! Questions to whoever is controller now: sent again until answered or out of time.
+
+use postbarrow_constants::coordination::ASK_AGAIN_MS;
+use postbarrow_messages::{Ask, Message, Response};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+struct Open {
+    ask: Ask,
+    againMs: u64,
+    untilMs: u64,
+}
+
+#[derive(Default)]
+pub struct Desk {
+    open: BTreeMap<u64, Open>,
+    controller: Option<SocketAddr>,
+    members: Vec<SocketAddr>,
+    turn: usize,
+}
+
+pub enum Effect {
+    Send { to: SocketAddr, message: Message },
+    Answer { key: u64, response: Response },
+}
+
+impl Desk {
+    /// What was learnt of the control plane; a new controller gets every open question at once.
+    pub fn learn(&mut self, nowMs: u64, controller: Option<SocketAddr>, members: &[SocketAddr]) {
+        if !members.is_empty() {
+            self.members = members.to_vec();
+        }
+        if controller.is_some() && controller != self.controller {
+            self.controller = controller;
+            for open in self.open.values_mut() {
+                open.againMs = nowMs;
+            }
+        }
+    }
+
+    pub fn ask(&mut self, nowMs: u64, key: u64, ask: Ask, waitMs: u64) -> Vec<Effect> {
+        let open = Open { ask, againMs: nowMs, untilMs: nowMs.saturating_add(waitMs) };
+        self.open.insert(key, open);
+        self.pulse(nowMs)
+    }
+
+    pub fn pulse(&mut self, nowMs: u64) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let mut over = Vec::new();
+        let to = self
+            .controller
+            .or_else(|| self.members.get(self.turn % self.members.len().max(1)).copied());
+        let mut turned = false;
+        for (key, open) in &mut self.open {
+            if nowMs >= open.untilMs {
+                over.push(*key);
+            } else if nowMs >= open.againMs {
+                open.againMs = nowMs + ASK_AGAIN_MS;
+                if let Some(to) = to {
+                    let message = Message::Ask { key: *key, ask: open.ask.clone() };
+                    effects.push(Effect::Send { to, message });
+                    turned = true;
+                }
+            }
+        }
+        if turned && self.controller.is_none() {
+            self.turn += 1;
+        }
+        for key in over {
+            self.open.remove(&key);
+            effects.push(Effect::Answer { key, response: Response::TimedOut });
+        }
+        effects
+    }
+
+    /// A response to a question that is no longer open is nobody's.
+    pub fn on_response(&mut self, nowMs: u64, key: u64, response: Response) -> Vec<Effect> {
+        let Some(open) = self.open.get_mut(&key) else { return Vec::new() };
+        match response {
+            Response::NotController { controller } => {
+                self.controller = controller;
+                open.againMs = match controller {
+                    Some(_) => nowMs,
+                    None => open.againMs.min(nowMs + ASK_AGAIN_MS / 3),
+                };
+                self.pulse(nowMs)
+            }
+            Response::Lost => {
+                self.controller = None;
+                Vec::new()
+            }
+            response => {
+                self.open.remove(&key);
+                vec![Effect::Answer { key, response }]
+            }
+        }
+    }
+
+    /// The controller did not answer other questions either.
+    pub fn doubt(&mut self) {
+        self.controller = None;
+    }
+
+    pub fn controller(&self) -> Option<SocketAddr> {
+        self.controller
+    }
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+}
--- a/crates/messages/src/asks.rs
+++ b/crates/messages/src/asks.rs
@@ -1,4 +1,4 @@
-use postbarrow_state::{Call, Incarnation, Kept, Name, Outcome, Record, Settlement, Ticket};
+use postbarrow_state::{Call, Kept, Name, Outcome, Record, Settlement, Ticket};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -6,7 +6,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Ask {
     Ticket(Ticket),
-    Settle { key: Name, node: Incarnation, go: u32, settlement: Settlement, response: Option<Kept> },
+    Settle { ticket: Ticket, settlement: Settlement, response: Option<Kept> },
     Call { id: Option<Name>, call: Call },
     Submit(Submission),
     Show,
@@ -35,9 +35,14 @@
     Settled,
     Outcome(Outcome),
     Refused(String),
+    /// The plan in force, byte for byte as submitted.
+    Plan {
+        version: Name,
+        offset: u64,
+        text: Vec<u8>,
+    },
     Operator {
         status: u16,
-        json: bool,
         body: Vec<u8>,
     },
     NotController {
@@ -48,3 +53,16 @@
     /// Nobody answered in time: the end is unknown.
     TimedOut,
 }
+
+impl Submission {
+    /// The plan's text as its records carry it.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        for record in &self.records {
+            if let Record::PlanText(part) = record {
+                text.extend_from_slice(part);
+            }
+        }
+        text
+    }
+}
--- a/crates/messages/src/lib.rs
+++ b/crates/messages/src/lib.rs
@@ -26,7 +26,7 @@
     Greet(Greet),
     Form(Vec<Member>),
     Introduce,
-    Introduction { control: Vec<SocketAddr>, others: Vec<SocketAddr> },
+    Introduction { control: Vec<SocketAddr>, formed: bool },
     Fresh(FreshAsk),
     FreshResponse { number: u64, fresh: Fresh },
     Tail { after: u64 },
--- /dev/null
+++ b/crates/node/src/course.rs
@@ -0,0 +1,280 @@
+use crate::verdict::{About, Told, Verdict};
+use postbarrow_constants::coordination::{KEPT_RESPONSE_BYTES, TICKET_USE_MS};
+use postbarrow_constants::traffic::{GOES, TICKETED_GOES};
+use postbarrow_messages::Response;
+use postbarrow_routing::{Entry, Load, Table, mix};
+use postbarrow_state::{Digest, Incarnation, Kept, Kind, Name, Settlement, Target, Ticket};
+use std::sync::Arc;
+
+/// What one ask is, beyond its bytes.
+#[derive(Clone)]
+pub struct Go {
+    pub key: Name,
+    pub keyed: bool,
+    pub digest: Digest,
+    pub node: Incarnation,
+    pub zone: Name,
+    pub startMs: u64,
+    pub seed: u64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetResponse {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+#[derive(Debug)]
+pub enum Passed {
+    Whole(TargetResponse),
+    /// Provably not a byte reached the target.
+    Unsent(String),
+    Unknown {
+        late: bool,
+        why: String,
+    },
+}
+
+pub enum Event {
+    Start,
+    Connected,
+    Unconnected(String),
+    Answered(Response),
+    Passed(Passed),
+}
+
+/// What the driver does next; each but Done is answered by one event.
+pub enum Step {
+    Connect { target: Arc<Target>, load: Arc<Load> },
+    AskTicket { ticket: Ticket, waitMs: u64 },
+    Pass { waitMs: u64 },
+    Settle { ticket: Ticket, settlement: Settlement, response: Option<Kept>, waitMs: u64 },
+    Done { verdict: Verdict, settle: Option<(Ticket, Settlement, Option<Kept>)> },
+}
+
+/// What the driver knows at the moment of an event.
+pub struct Now<'a> {
+    pub nowMs: u64,
+    pub table: &'a Table,
+    pub serves: bool,
+    /// A number this node never gave before.
+    pub number: u64,
+}
+
+pub struct Course {
+    go: Go,
+    entry: Arc<Entry>,
+    tried: Vec<Name>,
+    target: Option<Arc<Target>>,
+    load: Option<Arc<Load>>,
+    ticket: Option<Ticket>,
+    askedMs: u64,
+    proved: bool,
+    why: String,
+}
+
+impl Course {
+    pub fn new(go: Go, entry: Arc<Entry>) -> Self {
+        Course {
+            go,
+            entry,
+            tried: Vec::new(),
+            target: None,
+            load: None,
+            ticket: None,
+            askedMs: 0,
+            proved: false,
+            why: String::new(),
+        }
+    }
+
+    pub fn handle(&mut self, now: &Now<'_>, event: Event) -> Step {
+        match event {
+            Event::Start => {
+                self.entry.budget.on_ask(now.table.nodes());
+                self.next_go(now)
+            }
+            Event::Unconnected(why) => {
+                self.load_failed(now);
+                self.why = why;
+                self.extra_go(now)
+            }
+            Event::Connected => self.on_connected(now),
+            Event::Answered(response) => self.on_answered(now, response),
+            Event::Passed(passed) => self.on_passed(now, passed),
+        }
+    }
+
+    fn left_ms(&self, now: &Now<'_>) -> u64 {
+        (self.go.startMs + self.entry.route().deadlineMs).saturating_sub(now.nowMs)
+    }
+
+    fn is_one_time(&self) -> bool {
+        self.entry.route().kind == Kind::OneTime
+    }
+
+    fn load_failed(&self, now: &Now<'_>) {
+        if let Some(load) = &self.load {
+            load.failed(now.nowMs);
+        }
+    }
+
+    /// Targets come from the entry the ask began with, checked against the image of this moment.
+    fn next_go(&mut self, now: &Now<'_>) -> Step {
+        if !now.serves {
+            return self.end(Told::Unready);
+        }
+        if self.left_ms(now) == 0 {
+            return self.end(Told::Late);
+        }
+        loop {
+            let seed = mix(self.go.seed ^ self.tried.len() as u64);
+            let picked = self.entry.pick(&self.go.zone, &self.tried, now.nowMs, seed);
+            let Some((target, load)) = picked else {
+                let why = std::mem::take(&mut self.why);
+                return self.end(Told::NoTarget(why));
+            };
+            self.tried.push(target.instance.clone());
+            if now.table.allows(&self.entry.route().service, &target.instance) {
+                self.target = Some(target.clone());
+                self.load = Some(load.clone());
+                return Step::Connect { target, load };
+            }
+        }
+    }
+
+    fn extra_go(&mut self, now: &Now<'_>) -> Step {
+        let most = if self.is_one_time() { TICKETED_GOES } else { GOES };
+        let nodes = now.table.nodes();
+        if self.tried.len() >= most || !self.entry.budget.take(now.nowMs, nodes) {
+            let why = std::mem::take(&mut self.why);
+            return self.end(Told::GaveUp(why));
+        }
+        self.next_go(now)
+    }
+
+    fn may_pass(&self, now: &Now<'_>) -> bool {
+        let service = &self.entry.route().service;
+        let allowed =
+            self.target.as_ref().is_some_and(|target| now.table.allows(service, &target.instance));
+        now.serves && allowed && self.left_ms(now) > 0
+    }
+
+    fn on_connected(&mut self, now: &Now<'_>) -> Step {
+        let Some(target) = &self.target else { return self.end(Told::Unready) };
+        if !self.is_one_time() {
+            return match self.may_pass(now) {
+                true => Step::Pass { waitMs: self.left_ms(now) },
+                false => self.next_go(now),
+            };
+        }
+        let ticket = Ticket {
+            key: self.go.key.clone(),
+            digest: self.go.digest,
+            service: self.entry.route().service.clone(),
+            instance: target.instance.clone(),
+            node: self.go.node,
+            number: now.number,
+            settled: None,
+            response: None,
+        };
+        self.ticket = Some(ticket.clone());
+        self.askedMs = now.nowMs;
+        Step::AskTicket { ticket, waitMs: self.left_ms(now).min(TICKET_USE_MS) }
+    }
+
+    fn on_answered(&mut self, now: &Now<'_>, response: Response) -> Step {
+        match response {
+            Response::Granted => {
+                self.proved = true;
+                let fresh = now.nowMs < self.askedMs + TICKET_USE_MS;
+                if fresh && self.may_pass(now) {
+                    return Step::Pass { waitMs: self.left_ms(now) };
+                }
+                self.why = "the ticket came too late for its target".into();
+                self.settle_unsent(now)
+            }
+            Response::Settled => {
+                self.ticket = None;
+                self.extra_go(now)
+            }
+            Response::Known(known) => {
+                self.ticket = None;
+                self.end(Told::Known(known))
+            }
+            Response::OtherDigest => {
+                self.ticket = None;
+                self.end(Told::OtherDigest)
+            }
+            Response::Refused(why) => {
+                self.ticket = None;
+                self.end(Told::NoTicket(why))
+            }
+            _ => {
+                let settle = self.ticket.take().map(|ticket| (ticket, Settlement::Unsent, None));
+                let verdict = self.verdict(Told::TicketUnknown);
+                Step::Done { verdict, settle }
+            }
+        }
+    }
+
+    fn settle_unsent(&mut self, now: &Now<'_>) -> Step {
+        match &self.ticket {
+            Some(ticket) => Step::Settle {
+                ticket: ticket.clone(),
+                settlement: Settlement::Unsent,
+                response: None,
+                waitMs: self.left_ms(now).clamp(1, TICKET_USE_MS),
+            },
+            None => self.extra_go(now),
+        }
+    }
+
+    fn on_passed(&mut self, now: &Now<'_>, passed: Passed) -> Step {
+        match passed {
+            Passed::Whole(response) => {
+                if let Some(load) = &self.load {
+                    load.recovered();
+                }
+                let kept = keep(&response);
+                let settle = self.ticket.take().map(|ticket| (ticket, Settlement::Ran, kept));
+                Step::Done { verdict: self.verdict(Told::Whole(response)), settle }
+            }
+            Passed::Unsent(why) => {
+                self.why = why;
+                if self.ticket.is_some() { self.settle_unsent(now) } else { self.extra_go(now) }
+            }
+            Passed::Unknown { late, why } => {
+                self.load_failed(now);
+                if !self.is_one_time() && !late {
+                    self.why = why;
+                    return self.extra_go(now);
+                }
+                let settle = self.ticket.take().map(|ticket| (ticket, Settlement::Unknown, None));
+                let told = if late { Told::TargetLate(why) } else { Told::TargetFailed(why) };
+                Step::Done { verdict: self.verdict(told), settle }
+            }
+        }
+    }
+
+    fn end(&mut self, told: Told) -> Step {
+        Step::Done { verdict: self.verdict(told), settle: None }
+    }
+
+    fn verdict(&self, told: Told) -> Verdict {
+        let about =
+            About { oneTime: self.is_one_time(), keyed: self.go.keyed, proved: self.proved };
+        Verdict { told, about }
+    }
+}
+
+fn keep(response: &TargetResponse) -> Option<Kept> {
+    let headers: usize =
+        response.headers.iter().map(|(name, value)| name.len() + value.len()).sum();
+    (headers + response.body.len() <= KEPT_RESPONSE_BYTES).then(|| Kept {
+        status: response.status,
+        headers: response.headers.clone(),
+        body: response.body.clone(),
+    })
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,208 @@
+//! A data-plane node without I/O: freshness and hold, the relay tree, and the course of one ask.
 
+mod course;
+mod fresh;
+mod news;
+mod verdict;
+
+pub use course::{Course, Event, Go, Now, Passed, Step, TargetResponse};
+pub use verdict::{About, OUTCOME, REPLAYED, Told, Verdict};
+
+use fresh::FreshBook;
+use postbarrow_constants::nodes::*;
+use postbarrow_desk::{Desk, Effect as DeskEffect};
+use postbarrow_membership::{Relay, Watch};
+use postbarrow_messages::{Ask, Envelope, Message};
+use postbarrow_state::{Incarnation, Name, Node, State};
+use postbarrow_transactions::Tail;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+pub enum Input {
+    Pulse,
+    Receive(Envelope),
+    Ask { key: u64, ask: Ask, waitMs: u64 },
+    Probed { instance: Name, sound: bool },
+    Stop,
+}
+
+pub enum Effect {
+    Send {
+        to: SocketAddr,
+        message: Message,
+    },
+    Answer {
+        key: u64,
+        response: postbarrow_messages::Response,
+    },
+    /// A whole image to swap in.
+    Publish {
+        state: Arc<State>,
+        offset: u64,
+    },
+    /// The node may serve until then, on its own clock, and no longer.
+    Hold {
+        untilMs: u64,
+    },
+    Say(String),
+}
+
+pub struct DataNode {
+    own: Node,
+    seeds: Vec<SocketAddr>,
+    tail: Tail<State>,
+    published: u64,
+    hasImage: bool,
+    resync: bool,
+    relay: Relay,
+    watch: Watch,
+    desk: Desk,
+    fresh: FreshBook,
+    failures: BTreeMap<Name, u32>,
+    directUntilMs: u64,
+    behindMs: Option<u64>,
+    tailDueMs: u64,
+    tailedFrom: Option<SocketAddr>,
+    stopping: bool,
+    effects: Vec<Effect>,
+}
+
+impl DataNode {
+    pub fn new(own: Node, seeds: Vec<SocketAddr>, nowMs: u64) -> Self {
+        DataNode {
+            own,
+            seeds,
+            tail: Tail::new(0, State::default()),
+            published: 0,
+            hasImage: false,
+            resync: false,
+            relay: Relay::default(),
+            watch: Watch::default(),
+            desk: Desk::default(),
+            fresh: FreshBook::new(nowMs),
+            failures: BTreeMap::new(),
+            directUntilMs: 0,
+            behindMs: None,
+            tailDueMs: 0,
+            tailedFrom: None,
+            stopping: false,
+            effects: Vec::new(),
+        }
+    }
+
+    pub fn handle(&mut self, nowMs: u64, input: Input) -> Vec<Effect> {
+        match input {
+            Input::Pulse => self.pulse(nowMs),
+            Input::Receive(envelope) => self.receive(nowMs, envelope),
+            Input::Ask { key, ask, waitMs } => {
+                let effects = self.desk.ask(nowMs, key, ask, waitMs);
+                self.absorb(effects);
+            }
+            Input::Probed { instance, sound } => self.on_probed(instance, sound),
+            Input::Stop => self.stopping = true,
+        }
+        self.relay_on(nowMs);
+        std::mem::take(&mut self.effects)
+    }
+
+    fn receive(&mut self, nowMs: u64, envelope: Envelope) {
+        let Envelope { from, message } = envelope;
+        match message {
+            Message::FreshResponse { number, fresh } => self.on_fresh(nowMs, from, number, fresh),
+            Message::Introduction { control, formed } => {
+                if formed {
+                    self.fresh.introduced(&control);
+                }
+            }
+            Message::Introduce | Message::Greet(_) => {
+                let control = self.fresh.members().to_vec();
+                let formed = !control.is_empty();
+                self.send(from, Message::Introduction { control, formed });
+            }
+            Message::Tail { after } => {
+                if self.hasImage {
+                    self.relay.on_tail(nowMs, from, after);
+                }
+            }
+            Message::News { entries } => self.on_news(nowMs, entries),
+            Message::Image(frame) => self.on_image(nowMs, frame),
+            Message::Beat { node } => self.watch.heard(nowMs, node),
+            Message::Response { key, response } => {
+                let effects = self.desk.on_response(nowMs, key, response);
+                self.absorb(effects);
+            }
+            Message::Consensus { .. }
+            | Message::Form(_)
+            | Message::Fresh(_)
+            | Message::Ask { .. } => {}
+        }
+    }
+
+    fn pulse(&mut self, nowMs: u64) {
+        self.fresh_pulse(nowMs);
+        self.tail_pulse(nowMs);
+        self.ring_pulse(nowMs);
+        let effects = self.desk.pulse(nowMs);
+        self.absorb(effects);
+    }
+
+    fn ring_pulse(&mut self, nowMs: u64) {
+        let state = self.tail.image().clone();
+        let nodes: Vec<Incarnation> = state.nodes.keys().copied().collect();
+        for watcher in self.watch.pulse(nowMs, self.own.incarnation, &nodes) {
+            if let Some(node) = state.nodes.get(&watcher) {
+                self.send(node.address, Message::Beat { node: self.own.incarnation });
+            }
+        }
+    }
+
+    fn on_probed(&mut self, instance: Name, sound: bool) {
+        if sound {
+            self.failures.remove(&instance);
+        } else {
+            *self.failures.entry(instance).or_default() += 1;
+        }
+    }
+
+    /// Targets this node says are down.
+    fn failing(&self) -> Vec<Name> {
+        let state = self.tail.image();
+        let failing = self.failures.iter().filter(|(instance, count)| {
+            **count >= PROBE_FAILURES && state.targets.contains_key(*instance)
+        });
+        failing.map(|(instance, _)| instance.clone()).collect()
+    }
+
+    fn absorb(&mut self, effects: Vec<DeskEffect>) {
+        for effect in effects {
+            self.effects.push(match effect {
+                DeskEffect::Send { to, message } => Effect::Send { to, message },
+                DeskEffect::Answer { key, response } => Effect::Answer { key, response },
+            });
+        }
+    }
+
+    fn send(&mut self, to: SocketAddr, message: Message) {
+        self.effects.push(Effect::Send { to, message });
+    }
+
+    pub fn hold_until(&self) -> u64 {
+        if self.stopping { 0 } else { self.fresh.hold_until(self.published) }
+    }
+    pub fn is_ready(&self, nowMs: u64) -> bool {
+        nowMs < self.hold_until() && self.tail.image().plan.is_some()
+    }
+    pub fn published(&self) -> u64 {
+        self.published
+    }
+    pub fn image(&self) -> &Arc<State> {
+        self.tail.image()
+    }
+    pub fn own(&self) -> &Node {
+        &self.own
+    }
+    pub fn open_asks(&self) -> usize {
+        self.desk.open()
+    }
+}
--- /dev/null
+++ b/crates/node/src/news.rs
@@ -0,0 +1,126 @@
+use crate::{DataNode, Effect};
+use postbarrow_constants::nodes::*;
+use postbarrow_membership::{Deliver, NewsEntry, parent};
+use postbarrow_messages::{ImageFrame, Message};
+use postbarrow_state::{Incarnation, State};
+use postbarrow_transactions::{Seen, Tail, decode};
+use std::net::SocketAddr;
+
+const TAIL_AGAIN_MS: u64 = 50;
+const DIRECT_MS: u64 = 5_000;
+
+impl DataNode {
+    /// The parent in the tree, or the controller itself while the tree fails this node.
+    fn news_from(&self, nowMs: u64) -> Option<SocketAddr> {
+        let controller = self.fresh.controller()?;
+        if nowMs < self.directUntilMs || !self.hasImage || self.resync {
+            return Some(controller);
+        }
+        let state = self.tail.image();
+        let nodes: Vec<Incarnation> = state.nodes.keys().copied().collect();
+        let up = parent(self.own.incarnation, &nodes).and_then(|up| state.nodes.get(&up));
+        Some(up.map_or(controller, |node| node.address))
+    }
+
+    pub(crate) fn tail_pulse(&mut self, nowMs: u64) {
+        let behind = !self.hasImage || self.published < self.fresh.watermark();
+        match (behind, self.behindMs) {
+            (false, _) => self.behindMs = None,
+            (true, None) => self.behindMs = Some(nowMs),
+            (true, Some(sinceMs)) => {
+                if nowMs > sinceMs + RELAY_BEHIND_MS && nowMs >= self.directUntilMs {
+                    self.directUntilMs = nowMs + DIRECT_MS;
+                    self.tailDueMs = nowMs;
+                    self.effects.push(Effect::Say("tails the controller directly".into()));
+                }
+            }
+        }
+        let from = self.news_from(nowMs);
+        if from != self.tailedFrom {
+            self.tailDueMs = nowMs;
+        }
+        if nowMs < self.tailDueMs {
+            return;
+        }
+        let Some(from) = from else { return };
+        self.tailedFrom = Some(from);
+        self.tailDueMs = nowMs + if behind { TAIL_AGAIN_MS } else { TAIL_RENEW_MS };
+        let after = if self.resync { 0 } else { self.tail.offset() };
+        self.send(from, Message::Tail { after });
+    }
+
+    pub(crate) fn on_news(&mut self, nowMs: u64, entries: Vec<NewsEntry>) {
+        for entry in entries {
+            if entry.offset <= self.tail.offset() {
+                continue;
+            }
+            if entry.prev != self.tail.offset() {
+                self.tailDueMs = self.tailDueMs.min(nowMs + TAIL_AGAIN_MS);
+                return;
+            }
+            let seen = decode(&entry.bytes)
+                .and_then(|lines| self.tail.apply(entry.offset, entry.bytes.len(), &lines));
+            match seen {
+                Ok(Seen::Pending) => self.relay.push(entry),
+                Ok(_) => {
+                    self.relay.push(entry);
+                    self.publish();
+                }
+                Err(error) => {
+                    self.effects.push(Effect::Say(format!("news: {error}; fetches an image")));
+                    self.tail = Tail::new(0, State::default());
+                    self.resync = true;
+                    self.tailDueMs = nowMs;
+                    return;
+                }
+            }
+        }
+    }
+
+    pub(crate) fn on_image(&mut self, nowMs: u64, frame: ImageFrame) {
+        if frame.offset < self.published || (frame.offset <= self.tail.offset() && self.hasImage) {
+            return;
+        }
+        match rmp_serde::from_slice::<State>(&frame.state) {
+            Ok(state) => {
+                self.tail = Tail::new(frame.offset, state);
+                self.resync = false;
+                self.publish();
+            }
+            Err(error) => {
+                self.effects.push(Effect::Say(format!("image: {error}")));
+                self.tailDueMs = nowMs + TAIL_AGAIN_MS;
+            }
+        }
+    }
+
+    /// Never an older image than the last; only then may the hold of a newer grant count.
+    fn publish(&mut self) {
+        if self.hasImage && self.tail.offset() < self.published {
+            return;
+        }
+        self.hasImage = true;
+        self.resync = false;
+        self.published = self.tail.offset();
+        let (state, offset) = (self.tail.image().clone(), self.published);
+        self.effects.push(Effect::Publish { state, offset });
+        self.tell_hold();
+    }
+
+    pub(crate) fn relay_on(&mut self, nowMs: u64) {
+        if !self.hasImage || self.resync {
+            return;
+        }
+        for deliver in self.relay.deliver(nowMs, self.tail.offset()) {
+            match deliver {
+                Deliver::News { to, entries } => self.send(to, Message::News { entries }),
+                Deliver::Image { to } => {
+                    let Ok(state) = rmp_serde::to_vec(self.tail.image().as_ref()) else { continue };
+                    let offset = self.published;
+                    self.send(to, Message::Image(ImageFrame { offset, state }));
+                    self.relay.moved(to, offset);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/verdict.rs
@@ -0,0 +1,160 @@
+use crate::TargetResponse;
+use facet::Facet;
+use postbarrow_constants::traffic::RETRY_AFTER_S;
+use postbarrow_state::{Name, Settlement, Ticket};
+
+/// How an ask ended, before it is put into HTTP.
+#[derive(Debug)]
+pub enum Told {
+    Whole(TargetResponse),
+    Known(Box<Ticket>),
+    OtherDigest,
+    NoRoute,
+    OtherMethods(Vec<Name>),
+    BodyTooLarge(u64),
+    OverRate,
+    OverConcurrency,
+    Overloaded,
+    Unready,
+    NoTarget(String),
+    GaveUp(String),
+    NoTicket(String),
+    Late,
+    /// No word on the ticket: it may yet be granted, though it will not be used.
+    TicketUnknown,
+    TargetFailed(String),
+    TargetLate(String),
+}
+
+#[derive(Debug)]
+pub struct Verdict {
+    pub told: Told,
+    pub about: About,
+}
+
+/// What decides how sure a node can be that an ask did not run.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct About {
+    pub oneTime: bool,
+    pub keyed: bool,
+    /// The log granted this ask a ticket, so nothing ran under its key before.
+    pub proved: bool,
+}
+
+#[derive(Facet)]
+struct Body {
+    error: String,
+    /// ran, not-run, unknown or pending
+    outcome: String,
+    detail: Option<String>,
+}
+
+pub const OUTCOME: &str = "Postbarrow-Outcome";
+pub const REPLAYED: &str = "Postbarrow-Replayed";
+
+impl Verdict {
+    pub fn into_response(self) -> TargetResponse {
+        let about = self.about;
+        let (status, outcome, error, detail) = match self.told {
+            Told::Whole(mut response) => {
+                response.headers.retain(|(name, _)| !is_ours(name));
+                response.headers.push((OUTCOME.into(), "ran".into()));
+                return response;
+            }
+            Told::Known(ticket) => return known(*ticket),
+            Told::OtherDigest => (422, "not-run", "the key belongs to another request", None),
+            Told::NoRoute => (404, "not-run", "no route takes this path", None),
+            Told::OtherMethods(methods) => {
+                let mut response =
+                    about.made(405, "not-run", "the route takes other methods", None);
+                response.headers.push(("Allow".into(), methods.join(", ")));
+                return response;
+            }
+            Told::BodyTooLarge(most) => {
+                (413, "not-run", "the body is too large", Some(format!("at most {most} bytes")))
+            }
+            Told::OverRate => (429, "not-run", "over the route's rate", None),
+            Told::OverConcurrency => (429, "not-run", "over the route's concurrency", None),
+            Told::Overloaded => (503, "not-run", "this node is full", None),
+            Told::Unready => (503, "not-run", "this node is not ready", None),
+            Told::NoTarget(why) => (503, "not-run", "no live target", Some(why)),
+            Told::GaveUp(why) if about.oneTime => {
+                (503, "not-run", "gave up before sending", Some(why))
+            }
+            Told::GaveUp(why) => (502, "unknown", "no target gave a whole response", Some(why)),
+            Told::NoTicket(why) => (503, "not-run", "no ticket", Some(why)),
+            Told::Late => (504, "unknown", "the deadline is over", None),
+            Told::TicketUnknown => (504, "unknown", "no word on the ticket", None),
+            Told::TargetFailed(why) => {
+                (502, "unknown", "the target gave no whole response", Some(why))
+            }
+            Told::TargetLate(why) => {
+                (504, "unknown", "the target did not respond in time", Some(why))
+            }
+        };
+        about.made(status, outcome, error, detail)
+    }
+}
+
+impl About {
+    /// What a key did before, this node can't say without the log: never 'not run' for a keyed ask
+    /// that was turned away, whatever the reason.
+    fn made(
+        &self,
+        status: u16,
+        outcome: &str,
+        error: &str,
+        detail: Option<String>,
+    ) -> TargetResponse {
+        let unsure =
+            self.oneTime && self.keyed && !self.proved && outcome == "not-run" && status != 422;
+        let (status, outcome) = match (unsure, status) {
+            (true, 503) => (504, "unknown"),
+            (true, status) => (status, "unknown"),
+            (false, status) => (status, outcome),
+        };
+        let mut response = json(status, outcome, error, detail);
+        if matches!(status, 429 | 502 | 503 | 504) {
+            response.headers.push(("Retry-After".into(), RETRY_AFTER_S.to_string()));
+        }
+        response
+    }
+}
+
+fn json(status: u16, outcome: &str, error: &str, detail: Option<String>) -> TargetResponse {
+    let detail = detail.filter(|text| !text.is_empty());
+    let body = Body { error: error.into(), outcome: outcome.into(), detail };
+    TargetResponse {
+        status,
+        headers: vec![
+            ("Content-Type".into(), "application/json".into()),
+            (OUTCOME.into(), outcome.into()),
+        ],
+        body: facet_json::to_vec(&body).unwrap_or_default(),
+    }
+}
+
+fn known(ticket: Ticket) -> TargetResponse {
+    match (ticket.settled, ticket.response) {
+        (Some(Settlement::Ran), Some(kept)) => {
+            let mut headers = kept.headers.clone();
+            headers.retain(|(name, _)| !is_ours(name));
+            headers.push((OUTCOME.into(), "ran".into()));
+            headers.push((REPLAYED.into(), "true".into()));
+            TargetResponse { status: kept.status, headers, body: kept.body.clone() }
+        }
+        (Some(Settlement::Ran), None) => {
+            json(409, "ran", "the request ran; its response was too large to keep", None)
+        }
+        (Some(_), _) => json(409, "unknown", "whether the request ran is not known", None),
+        (None, _) => {
+            let mut response = json(409, "pending", "the request is at work", None);
+            response.headers.push(("Retry-After".into(), RETRY_AFTER_S.to_string()));
+            response
+        }
+    }
+}
+
+fn is_ours(name: &str) -> bool {
+    name.len() > 10 && name.as_bytes()[..10].eq_ignore_ascii_case(b"postbarrow")
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,1 +1,19 @@
+//! From an ask to a target: match, limits, pick, and the budget of extra goes.
 
+mod budget;
+mod limits;
+mod pick;
+mod table;
+
+pub use budget::Budget;
+pub use limits::{Limits, Refusal};
+pub use pick::{Load, Loads};
+pub use table::{Entry, Found, Table};
+
+/// A small generator for picks; quality matters less than a short path.
+pub fn mix(seed: u64) -> u64 {
+    let mut mixed = seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- /dev/null
+++ b/crates/routing/src/table.rs
@@ -0,0 +1,161 @@
+use crate::pick::{Choice, Loads, carry, pick};
+use crate::{Budget, Limits};
+use postbarrow_plan::{Pattern, Segment};
+use postbarrow_rules::{Facts, Rule};
+use postbarrow_state::{Name, Route, State};
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+/// What a route needs that only its plan decides; kept while the plan stays.
+pub struct Made {
+    pub route: Arc<Route>,
+    pub limits: Limits,
+    pattern: Pattern,
+    rule: Option<Rule>,
+}
+
+/// One route with all that its asks need.
+pub struct Entry {
+    pub made: Arc<Made>,
+    pub budget: Arc<Budget>,
+    targets: Arc<Vec<Choice>>,
+}
+
+/// A whole image made ready for asks; replaced whole by one swap.
+pub struct Table {
+    pub state: Arc<State>,
+    pub offset: u64,
+    entries: Vec<Arc<Entry>>,
+    byFirst: HashMap<Name, Vec<usize>>,
+    anyFirst: Vec<usize>,
+    loads: Loads,
+    budgets: HashMap<Name, Arc<Budget>>,
+}
+
+pub enum Found {
+    Route(Arc<Entry>),
+    NoRoute,
+    OtherMethods(Vec<Name>),
+}
+
+impl Table {
+    pub fn empty() -> Self {
+        Table {
+            state: Arc::new(State::default()),
+            offset: 0,
+            entries: Vec::new(),
+            byFirst: HashMap::new(),
+            anyFirst: Vec::new(),
+            loads: Loads::new(),
+            budgets: HashMap::new(),
+        }
+    }
+
+    pub fn new(state: Arc<State>, offset: u64, old: &Table) -> Self {
+        let loads = carry(&old.loads, &state);
+        let mut targets = HashMap::new();
+        let mut budgets = HashMap::new();
+        for (name, service) in &state.services {
+            let live = state.live_targets(service).into_iter();
+            let choices: Vec<Choice> = live
+                .map(|target| {
+                    let load = loads.get(&target.instance).cloned().unwrap_or_default();
+                    (target, load)
+                })
+                .collect();
+            targets.insert(name.clone(), Arc::new(choices));
+            let budget = old.budgets.get(name).cloned().unwrap_or_default();
+            budgets.insert(name.clone(), budget);
+        }
+        let kept: HashMap<*const Route, &Arc<Made>> =
+            old.entries.iter().map(|entry| (Arc::as_ptr(&entry.made.route), &entry.made)).collect();
+        let mut entries: Vec<Arc<Entry>> = Vec::with_capacity(state.routes.len());
+        for route in &state.routes {
+            let made = match kept.get(&Arc::as_ptr(route)) {
+                Some(made) => Arc::clone(made),
+                None => match Made::new(route) {
+                    Ok(made) => Arc::new(made),
+                    Err(_) => continue,
+                },
+            };
+            entries.push(Arc::new(Entry {
+                made,
+                budget: budgets.get(&route.service).cloned().unwrap_or_default(),
+                targets: targets.get(&route.service).cloned().unwrap_or_default(),
+            }));
+        }
+        entries.sort_by(|a, b| {
+            let rank = |entry: &Entry| (entry.made.pattern.clone(), entry.made.rule.is_none());
+            rank(a).cmp(&rank(b))
+        });
+        let mut byFirst: HashMap<Name, Vec<usize>> = HashMap::new();
+        let mut anyFirst = Vec::new();
+        for (at, entry) in entries.iter().enumerate() {
+            match entry.made.pattern.segments.first() {
+                Some(Segment::Literal(first)) => byFirst.entry(first.clone()).or_default().push(at),
+                _ => anyFirst.push(at),
+            }
+        }
+        Table { state, offset, entries, byFirst, anyFirst, loads, budgets }
+    }
+
+    /// The most literal pattern wins; among equals, one with a rule that holds.
+    pub fn find(&self, method: &str, path: &str, headers: &[(String, String)]) -> Found {
+        let facts = Facts { method, path, headers };
+        let first = path.strip_prefix('/').map_or("", |rest| rest.split('/').next().unwrap_or(""));
+        let named = self.byFirst.get(first).map_or(&[][..], |list| list.as_slice());
+        let mut others = BTreeSet::new();
+        for at in named.iter().chain(&self.anyFirst) {
+            let entry = &self.entries[*at];
+            if !entry.made.pattern.matches(path) {
+                continue;
+            }
+            if !entry.made.route.methods.iter().any(|known| known == method) {
+                others.extend(entry.made.route.methods.iter().cloned());
+                continue;
+            }
+            if entry.made.rule.as_ref().is_none_or(|rule| rule.holds(&facts)) {
+                return Found::Route(entry.clone());
+            }
+        }
+        if others.is_empty() {
+            Found::NoRoute
+        } else {
+            Found::OtherMethods(others.into_iter().collect())
+        }
+    }
+
+    pub fn loads(&self) -> &Loads {
+        &self.loads
+    }
+
+    pub fn nodes(&self) -> u64 {
+        self.state.nodes.len().max(1) as u64
+    }
+
+    /// Whether a target may still get an ask of this service under the present image.
+    pub fn allows(&self, service: &Name, instance: &Name) -> bool {
+        let service = self.state.services.get(service);
+        let target = self.state.targets.get(instance);
+        matches!((service, target), (Some(service), Some(target)) if target.is_live_for(service))
+    }
+}
+
+impl Made {
+    /// A route that does not compile here is left out; the plan was checked, so it does.
+    fn new(route: &Arc<Route>) -> Result<Made, String> {
+        let rule = route.when.as_deref().map(Rule::compile).transpose()?;
+        let pattern = Pattern::read(&route.path)?;
+        Ok(Made { route: route.clone(), limits: Limits::new(route), pattern, rule })
+    }
+}
+
+impl Entry {
+    pub fn route(&self) -> &Route {
+        &self.made.route
+    }
+
+    pub fn pick(&self, zone: &str, tried: &[Name], nowMs: u64, seed: u64) -> Option<Choice> {
+        pick(&self.targets, zone, tried, nowMs, seed)
+    }
+}
--- a/crates/state/src/apply.rs
+++ b/crates/state/src/apply.rs
@@ -68,7 +68,7 @@
                 let lock = Lock { holder: holder.clone(), fence: *fence, ttlMs: *ttlMs };
                 self.locks.insert(name.clone(), lock);
                 self.fence = self.fence.max(*fence);
-                self.tell(name, Change::Locked { holder: holder.clone(), fence: *fence });
+                self.tell(name, Change::Locked { fence: *fence });
             }
             Record::LockFreed { name } => {
                 self.locks.remove(name);
--- a/crates/state/src/coordination.rs
+++ b/crates/state/src/coordination.rs
@@ -24,7 +24,7 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Change {
-    Locked { holder: Name, fence: u64 },
+    Locked { fence: u64 },
     Freed,
     Number(u64),
     Key(Key),
@@ -67,7 +67,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Outcome {
     Locked { fence: u64, ttlMs: u64 },
-    Held { holder: Name, fence: u64 },
+    Held { fence: u64 },
     Freed,
     NotHeld,
     NoLock,
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -40,6 +40,18 @@
         self.plan.as_ref().map(|plan| plan.version.as_str())
     }
 
+    /// What data nodes keep: all that `Record::is_news` can change.
+    pub fn news_only(&self) -> State {
+        State {
+            plan: self.plan.clone(),
+            services: self.services.clone(),
+            routes: self.routes.clone(),
+            targets: self.targets.clone(),
+            nodes: self.nodes.clone(),
+            ..State::default()
+        }
+    }
+
     pub fn plan_text(&self) -> Vec<u8> {
         self.planText.iter().flat_map(|part| part.iter().copied()).collect()
     }
--- a/crates/state/src/records.rs
+++ b/crates/state/src/records.rs
@@ -82,7 +82,8 @@
     pub service: Name,
     pub instance: Name,
     pub node: Incarnation,
-    pub go: u32,
+    /// The node's own number of this go; no two goes share one.
+    pub number: u64,
     pub settled: Option<Settlement>,
     pub response: Option<Arc<Kept>>,
 }
