--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -188,10 +188,10 @@
     }
 
     pub fn hold_until(&self) -> u64 {
-        if self.stopping { 0 } else { self.fresh.hold_until(self.published) }
+        self.fresh.hold_until(self.published)
     }
     pub fn is_ready(&self, nowMs: u64) -> bool {
-        nowMs < self.hold_until() && self.tail.image().plan.is_some()
+        !self.stopping && nowMs < self.hold_until() && self.tail.image().plan.is_some()
     }
     pub fn published(&self) -> u64 {
         self.published
--- /dev/null
+++ b/crates/startup/src/place.rs
@@ -0,0 +1,204 @@
+use postbarrow_reading::{Fields, Finding, Findings, Reading, Value, text};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    DataPlane,
+    ControlPlane,
+}
+
+/// Where a process stands: its addresses, its zone, three seeds, and what only its part needs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Startup {
+    pub name: String,
+    pub zone: String,
+    /// Where other postbarrow processes reach this one.
+    pub address: SocketAddr,
+    /// Where callers, or operators, reach this one.
+    pub http: SocketAddr,
+    pub seeds: Vec<SocketAddr>,
+    pub data: Option<PathBuf>,
+    pub list: Option<String>,
+    pub log: Option<PathBuf>,
+    pub level: log::LevelFilter,
+}
+
+/// The same on the command line; a flag beats the file.
+#[derive(Clone, Debug, Default)]
+pub struct Flags {
+    pub name: Option<String>,
+    pub zone: Option<String>,
+    pub address: Option<String>,
+    pub http: Option<String>,
+    pub seeds: Vec<String>,
+    pub data: Option<String>,
+    pub list: Option<String>,
+    pub log: Option<String>,
+    pub level: Option<String>,
+}
+
+impl Startup {
+    /// Reads the file, lets flags overrule it, and reports every finding of both together.
+    pub fn read(part: Part, file: &str, flags: &Flags) -> Result<Startup, Findings> {
+        let (value, mut reading) = Reading::parse(file)?;
+        let from_file = read_fields(&value, &mut reading);
+        let given = merge(from_file, flags);
+        let made = check(part, given, &mut reading);
+        match made {
+            Some(made) => reading.finish(made),
+            None => Err(reading.finish(()).err().unwrap_or_else(|| Findings {
+                findings: vec![Finding {
+                    place: "$".into(),
+                    line: None,
+                    offset: None,
+                    message: "can't be read".into(),
+                }],
+            })),
+        }
+    }
+}
+
+fn read_fields(value: &Value, reading: &mut Reading) -> Flags {
+    let mut given = Flags::default();
+    let Some(mut fields) = Fields::of(value, "$", reading) else { return given };
+    let mut take = |field| fields.text_or_none(field, reading).map(str::to_string);
+    given.name = take("name");
+    given.zone = take("zone");
+    given.address = take("address");
+    given.http = take("http");
+    given.data = take("data");
+    given.list = take("list");
+    given.log = take("log");
+    given.level = take("level");
+    if fields.get("seeds").is_some() {
+        for (place, value) in fields.array("seeds", reading) {
+            if let Some(seed) = text(value, &place, reading) {
+                given.seeds.push(seed.to_string());
+            }
+        }
+    }
+    fields.finish(reading);
+    given
+}
+
+fn merge(file: Flags, flags: &Flags) -> Flags {
+    let pick = |flag: &Option<String>, file: Option<String>| flag.clone().or(file);
+    Flags {
+        name: pick(&flags.name, file.name),
+        zone: pick(&flags.zone, file.zone),
+        address: pick(&flags.address, file.address),
+        http: pick(&flags.http, file.http),
+        seeds: if flags.seeds.is_empty() { file.seeds } else { flags.seeds.clone() },
+        data: pick(&flags.data, file.data),
+        list: pick(&flags.list, file.list),
+        log: pick(&flags.log, file.log),
+        level: pick(&flags.level, file.level),
+    }
+}
+
+fn check(part: Part, given: Flags, reading: &mut Reading) -> Option<Startup> {
+    let mut address = |field: &str, text: Option<&String>| match text.map(|text| text.parse()) {
+        Some(Ok(address)) => Some(address),
+        Some(Err(_)) => {
+            reading.find(&format!("$.{field}"), "must be an IP address and port".into());
+            None
+        }
+        None => {
+            reading.find(&format!("$.{field}"), "is missing".into());
+            None
+        }
+    };
+    let own: Option<SocketAddr> = address("address", given.address.as_ref());
+    let http: Option<SocketAddr> = address("http", given.http.as_ref());
+    let mut seeds = Vec::new();
+    for (at, seed) in given.seeds.iter().enumerate() {
+        seeds.extend(address(&format!("seeds[{at}]"), Some(seed)));
+    }
+    if given.seeds.is_empty() {
+        reading
+            .find("$.seeds", "must name at least one other process, and should name three".into());
+    }
+    if own.is_some() && own == http {
+        reading.find("$.http", "is the same as $.address".into());
+    }
+    for (field, text) in [("name", &given.name), ("zone", &given.zone)] {
+        match text {
+            Some(text) if (1..=64).contains(&text.len()) => {}
+            Some(_) => reading.find(&format!("$.{field}"), "must have 1 to 64 bytes".into()),
+            None => reading.find(&format!("$.{field}"), "is missing".into()),
+        }
+    }
+    match (part, &given.data) {
+        (Part::ControlPlane, None) => reading.find("$.data", "is missing".into()),
+        (Part::DataPlane, Some(_)) => {
+            reading.find("$.data", "is for the control plane: data nodes have no disk".into())
+        }
+        _ => {}
+    }
+    match (part, &given.list) {
+        (Part::ControlPlane, None) => reading.find("$.list", "is missing".into()),
+        (Part::ControlPlane, Some(list)) if !list.starts_with("http://") => {
+            reading.find("$.list", "must begin with http://".into())
+        }
+        (Part::DataPlane, Some(_)) => reading.find("$.list", "is for the control plane".into()),
+        _ => {}
+    }
+    let level = match given.level.as_deref().unwrap_or("info").parse() {
+        Ok(level) => level,
+        Err(_) => {
+            reading.find("$.level", "must be off, error, warn, info, debug or trace".into());
+            log::LevelFilter::Info
+        }
+    };
+    Some(Startup {
+        name: given.name?,
+        zone: given.zone?,
+        address: own?,
+        http: http?,
+        seeds,
+        data: given.data.map(PathBuf::from),
+        list: given.list,
+        log: given.log.map(PathBuf::from),
+        level,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_finding_is_told_with_its_place() {
+        let file = "{\n \"name\": \"\",\n \"zone\": 7,\n \"address\": \"here\",\n \"seeds\": [\"127.0.0.1:1\", \"x\"],\n \"dtaa\": \"/d\"\n}";
+        let findings = Startup::read(Part::ControlPlane, file, &Flags::default()).unwrap_err();
+        let told = findings.to_string();
+        for part in [
+            "$.zone (line 3): must be a string",
+            "$.dtaa (line 6): is not a known field",
+            "$.address (line 4): must be an IP address and port",
+            "$.http (line 1): is missing",
+            "$.seeds[1] (line 5): must be an IP",
+            "$.name (line 2): must have 1 to 64 bytes",
+            "$.data (line 1): is missing",
+            "$.list (line 1): is missing",
+        ] {
+            assert!(told.contains(part), "{part:?} is not in:\n{told}");
+        }
+    }
+
+    #[test]
+    fn flags_alone_are_enough_and_beat_the_file() {
+        let flags = Flags {
+            name: Some("d1".into()),
+            zone: Some("a".into()),
+            address: Some("127.0.0.1:7001".into()),
+            http: Some("127.0.0.1:8001".into()),
+            seeds: vec!["127.0.0.1:7000".into()],
+            ..Flags::default()
+        };
+        let startup = Startup::read(Part::DataPlane, "{\"zone\": \"b\"}", &flags).unwrap();
+        assert_eq!(startup.zone, "a");
+        assert_eq!(startup.seeds.len(), 1);
+    }
+}
--- /dev/null
+++ b/crates/startup/src/stop.rs
@@ -0,0 +1,21 @@
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+
+static STOP: AtomicBool = AtomicBool::new(false);
+
+extern "C" fn on_signal(_signal: libc::c_int) {
+    STOP.store(true, SeqCst);
+}
+
+/// SIGTERM and SIGINT ask for a clean stop; SIGPIPE is left to the writer's error.
+pub fn watch_signals() {
+    let handler = on_signal as *const () as libc::sighandler_t;
+    unsafe {
+        libc::signal(libc::SIGTERM, handler);
+        libc::signal(libc::SIGINT, handler);
+        libc::signal(libc::SIGPIPE, libc::SIG_IGN);
+    }
+}
+
+pub fn stop_asked() -> bool {
+    STOP.load(SeqCst)
+}
--- /dev/null
+++ b/crates/transport/src/slab.rs
@@ -0,0 +1,68 @@
+/// Continuations by key. A key carries its place's generation, so a late response finds nothing
+/// where another ask now waits.
+pub struct Slab<T> {
+    places: Vec<Place<T>>,
+    free: Vec<u32>,
+    count: usize,
+}
+
+struct Place<T> {
+    generation: u32,
+    held: Option<T>,
+}
+
+impl<T> Default for Slab<T> {
+    fn default() -> Self {
+        Slab { places: Vec::new(), free: Vec::new(), count: 0 }
+    }
+}
+
+impl<T> Slab<T> {
+    pub fn insert(&mut self, held: T) -> u64 {
+        let at = self.free.pop().unwrap_or_else(|| {
+            self.places.push(Place { generation: 0, held: None });
+            (self.places.len() - 1) as u32
+        });
+        let place = &mut self.places[at as usize];
+        place.generation = place.generation.wrapping_add(1).max(1);
+        place.held = Some(held);
+        self.count += 1;
+        (u64::from(place.generation) << 32) | u64::from(at)
+    }
+
+    pub fn take(&mut self, key: u64) -> Option<T> {
+        let (generation, at) = ((key >> 32) as u32, key as u32);
+        let place = self.places.get_mut(at as usize)?;
+        if place.generation != generation {
+            return None;
+        }
+        let held = place.held.take()?;
+        self.free.push(at);
+        self.count -= 1;
+        Some(held)
+    }
+
+    pub fn len(&self) -> usize {
+        self.count
+    }
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_late_response_finds_no_other_ask() {
+        let mut slab = Slab::default();
+        let first = slab.insert("first");
+        assert_eq!(slab.take(first), Some("first"));
+        let second = slab.insert("second");
+        assert_eq!(first as u32, second as u32, "the place is used again");
+        assert_eq!(slab.take(first), None);
+        assert_eq!(slab.take(second), Some("second"));
+        assert!(slab.is_empty());
+    }
+}
--- /dev/null
+++ b/programs/control-plane/src/client.rs
@@ -0,0 +1,47 @@
+use std::time::Duration;
+use ureq::Agent;
+
+const WAIT_MS: u64 = 8_000;
+
+pub struct Answer {
+    pub status: u16,
+    pub body: String,
+    pub about: Vec<(String, String)>,
+}
+
+/// The operator's questions over HTTP: the first control node that can be reached answers.
+pub fn ask(control: &[String], path: &str, plan: Option<Vec<u8>>) -> Result<Answer, String> {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .proxy(None)
+        .timeout_global(Some(Duration::from_millis(WAIT_MS)))
+        .build();
+    let agent = Agent::new_with_config(config);
+    let mut failures = Vec::new();
+    for address in control {
+        let url = format!("http://{address}{path}");
+        let sent = match &plan {
+            Some(plan) => agent.post(&url).send(&plan[..]),
+            None => agent.get(&url).call(),
+        };
+        match sent.map_err(|error| error.to_string()).and_then(read) {
+            Ok(answer) => return Ok(answer),
+            Err(error) => failures.push(format!("{address}: {error}")),
+        }
+    }
+    Err(failures.join("; "))
+}
+
+fn read(mut response: ureq::http::Response<ureq::Body>) -> Result<Answer, String> {
+    let about = response
+        .headers()
+        .iter()
+        .filter(|(name, _)| name.as_str().starts_with("postbarrow-"))
+        .map(|(name, value)| {
+            (name.to_string(), String::from_utf8_lossy(value.as_bytes()).into_owned())
+        })
+        .collect();
+    let status = response.status().as_u16();
+    let body = response.body_mut().with_config().limit(64 * 1024 * 1024).read_to_string();
+    Ok(Answer { status, body: body.map_err(|error| error.to_string())?, about })
+}
--- /dev/null
+++ b/programs/control-plane/src/core.rs
@@ -0,0 +1,143 @@
+use crate::disk::Writes;
+use log::{info, warn};
+use postbarrow_constants::consensus::PULSE_MS;
+use postbarrow_controller::{ControlNode, Effect, Input, PageResult};
+use postbarrow_desk::{Desk, Effect as DeskEffect};
+use postbarrow_messages::{Ask, Envelope, Message, Response};
+use postbarrow_transport::{Links, Slab, now_ms};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, SyncSender};
+use std::time::Duration;
+
+pub enum Command {
+    Envelope(Envelope),
+    Synced(u64),
+    DiskFailed(String),
+    Page(PageResult),
+    Ask { ask: Ask, waitMs: u64, reply: SyncSender<Response> },
+    End(Sender<()>),
+}
+
+pub struct Fetch {
+    pub walk: u64,
+    pub cursor: Option<String>,
+}
+
+/// The one owner of the control node: works through its queue, carries out effects.
+pub struct Core {
+    node: ControlNode,
+    own: SocketAddr,
+    links: Links,
+    desk: Desk,
+    asks: Slab<SyncSender<Response>>,
+    writes: Writes,
+    fetches: Sender<Fetch>,
+    local: VecDeque<Envelope>,
+}
+
+impl Core {
+    pub fn new(node: ControlNode, own: SocketAddr, writes: Writes, fetches: Sender<Fetch>) -> Self {
+        let links = Links::new(own);
+        let (desk, asks, local) = (Desk::default(), Slab::default(), VecDeque::new());
+        Core { node, own, links, desk, asks, writes, fetches, local }
+    }
+
+    pub fn run(mut self, queue: Receiver<Command>) {
+        let mut pulseMs = 0;
+        loop {
+            let nowMs = now_ms();
+            if nowMs >= pulseMs {
+                pulseMs = nowMs + PULSE_MS;
+                self.pulse(nowMs);
+            }
+            let waitMs = pulseMs.saturating_sub(now_ms()).max(1);
+            match queue.recv_timeout(Duration::from_millis(waitMs)) {
+                Ok(Command::End(done)) => {
+                    drop(self.writes);
+                    let _ = done.send(());
+                    return;
+                }
+                Ok(command) => self.work(command),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            while let Some(envelope) = self.local.pop_front() {
+                self.receive(envelope);
+            }
+        }
+    }
+
+    fn pulse(&mut self, nowMs: u64) {
+        self.handle(nowMs, Input::Pulse);
+        let log = self.node.consensus();
+        let members: Vec<SocketAddr> = log.members().iter().map(|member| member.address).collect();
+        let leader = log.leader().map(|member| member.address);
+        self.desk.learn(nowMs, leader, &members);
+        let effects = self.desk.pulse(nowMs);
+        self.carry_out(effects);
+    }
+
+    fn work(&mut self, command: Command) {
+        let nowMs = now_ms();
+        match command {
+            Command::Envelope(envelope) => self.receive(envelope),
+            Command::Synced(sequence) => self.handle(nowMs, Input::Synced(sequence)),
+            Command::DiskFailed(error) => {
+                warn!("disk: {error}; this process ends, for it can't promise anything");
+                std::process::exit(3);
+            }
+            Command::Page(page) => self.handle(nowMs, Input::Page(page)),
+            Command::Ask { ask, waitMs, reply } => {
+                let key = self.asks.insert(reply);
+                let effects = self.desk.ask(nowMs, key, ask, waitMs);
+                self.carry_out(effects);
+            }
+            Command::End(_) => {}
+        }
+    }
+
+    fn receive(&mut self, envelope: Envelope) {
+        let nowMs = now_ms();
+        if let Message::Response { key, response } = envelope.message {
+            let effects = self.desk.on_response(nowMs, key, response);
+            self.carry_out(effects);
+        } else {
+            self.handle(nowMs, Input::Receive(envelope));
+        }
+    }
+
+    fn handle(&mut self, nowMs: u64, input: Input) {
+        for effect in self.node.handle(nowMs, input) {
+            match effect {
+                Effect::Send { to, message } => self.send(to, message),
+                Effect::Write { sequence, write } => self.writes.write(sequence, write),
+                Effect::Fetch { walk, cursor } => {
+                    let _ = self.fetches.send(Fetch { walk, cursor });
+                }
+                Effect::Say(text) => info!("control: {text}"),
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effects: Vec<DeskEffect>) {
+        for effect in effects {
+            match effect {
+                DeskEffect::Send { to, message } => self.send(to, message),
+                DeskEffect::Answer { key, response } => {
+                    if let Some(reply) = self.asks.take(key) {
+                        let _ = reply.try_send(response);
+                    }
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, to: SocketAddr, message: Message) {
+        if to == self.own {
+            self.local.push_back(Envelope { from: self.own, message });
+        } else {
+            self.links.send(to, message);
+        }
+    }
+}
--- /dev/null
+++ b/programs/control-plane/src/lib.rs
@@ -0,0 +1,69 @@
+//! The control plane: one member of the replicated log, its disk, the list's walker, the operator's door.
+
+pub mod client;
+mod core;
+mod disk;
+mod list;
+mod operator;
+
+use crate::core::{Command, Core};
+use log::{info, warn};
+use postbarrow_consensus::{Member, Recovered};
+use postbarrow_controller::ControlNode;
+use postbarrow_startup::Startup;
+use postbarrow_storage::{FolderDisk, Opened, Storage, open};
+use postbarrow_transport::{listen, now_ms, random};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::mpsc::{Sender, channel};
+use std::thread;
+
+pub struct ControlPlane {
+    commands: Sender<Command>,
+    http: SocketAddr,
+}
+
+impl ControlPlane {
+    pub fn start(startup: &Startup) -> io::Result<ControlPlane> {
+        let folder = startup.data.clone().ok_or(io::ErrorKind::InvalidInput)?;
+        let disk = FolderDisk::new(folder.clone())?;
+        disk::lock(&folder)?;
+        let (storage, recovered) = match open(disk)? {
+            Opened::Whole { storage, recovered } => (storage, recovered),
+            Opened::Empty(disk) => {
+                info!("disk: {} is empty, this is a new member", folder.display());
+                (Storage::create(disk, random())?, Recovered::default())
+            }
+            Opened::Damaged { disk, finding } => {
+                warn!("disk: {finding}; what it knew is lost, this is a new member");
+                (Storage::create(disk, random())?, Recovered::default())
+            }
+        };
+        let links = TcpListener::bind(startup.address)?;
+        let own = Member { id: storage.id(), address: links.local_addr()? };
+        info!("control: {} is member {:016x} at {}", startup.name, own.id, own.address);
+        let (commands, queue) = channel();
+        let writes = disk::start(storage, commands.clone())?;
+        let fetches = list::start(startup.list.clone().unwrap_or_default(), commands.clone())?;
+        let node = ControlNode::new(own, recovered, &startup.seeds, random(), now_ms());
+        let core = Core::new(node, own.address, writes, fetches);
+        thread::Builder::new().name("control".into()).spawn(move || core.run(queue))?;
+        let hand = commands.clone();
+        listen(links, move |envelope| hand.send(Command::Envelope(envelope)).is_ok())?;
+        let http = operator::start(startup.http, commands.clone())?;
+        Ok(ControlPlane { commands, http })
+    }
+
+    pub fn http(&self) -> SocketAddr {
+        self.http
+    }
+
+    /// Ends after what was begun on the disk is done; the others elect anew.
+    pub fn stop(&self) {
+        let (done, ended) = channel();
+        if self.commands.send(Command::End(done)).is_ok() {
+            let _ = ended.recv_timeout(std::time::Duration::from_secs(5));
+        }
+        info!("control: ends");
+    }
+}
--- /dev/null
+++ b/programs/control-plane/src/list.rs
@@ -0,0 +1,56 @@
+use crate::core::{Command, Fetch};
+use postbarrow_constants::nodes::*;
+use postbarrow_controller::{Fetched, PageResult};
+use std::io;
+use std::sync::mpsc::{Sender, channel};
+use std::thread;
+use std::time::Duration;
+use ureq::Agent;
+
+/// Fetches pages of the platform's list, one at a time, as the controller asks for them.
+pub fn start(url: String, commands: Sender<Command>) -> io::Result<Sender<Fetch>> {
+    let (queue, fetches) = channel::<Fetch>();
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .proxy(None)
+        .timeout_global(Some(Duration::from_millis(LIST_PAGE_WAIT_MS)))
+        .build();
+    let agent = Agent::new_with_config(config);
+    thread::Builder::new().name("list".into()).spawn(move || {
+        while let Ok(fetch) = fetches.recv() {
+            let fetched = get(&agent, &url, fetch.cursor.as_deref());
+            if commands.send(Command::Page(PageResult { walk: fetch.walk, fetched })).is_err() {
+                return;
+            }
+        }
+    })?;
+    Ok(queue)
+}
+
+fn get(agent: &Agent, url: &str, cursor: Option<&str>) -> Fetched {
+    let mut request = agent.get(url);
+    if let Some(cursor) = cursor {
+        request = request.query("cursor", cursor);
+    }
+    let mut response = match request.call() {
+        Ok(response) => response,
+        Err(error) => return Fetched::Failed(error.to_string()),
+    };
+    match response.status().as_u16() {
+        200 => {
+            let limit = LIST_PAGE_BYTES as u64 + 1;
+            match response.body_mut().with_config().limit(limit).read_to_vec() {
+                Ok(bytes) => Fetched::Page(bytes),
+                Err(error) => Fetched::Failed(error.to_string()),
+            }
+        }
+        429 | 503 => {
+            let header = response.headers().get("retry-after");
+            let told = header.and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
+            let waitMs = told.map_or(LIST_PAUSE_MS as f64, |waitS| (waitS * 1_000.0).max(0.0));
+            Fetched::Limited { waitMs: waitMs as u64 }
+        }
+        status => Fetched::Failed(format!("status {status}")),
+    }
+}
--- /dev/null
+++ b/programs/data-plane/src/core.rs
@@ -0,0 +1,91 @@
+use crate::share::Shared;
+use crate::upstream::Pools;
+use log::info;
+use postbarrow_constants::consensus::PULSE_MS;
+use postbarrow_messages::{Ask, Envelope, Response};
+use postbarrow_node::{DataNode, Effect, Input};
+use postbarrow_routing::Table;
+use postbarrow_state::Name;
+use postbarrow_transport::{Links, Slab, now_ms};
+use std::sync::Arc;
+use std::sync::atomic::Ordering::*;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender};
+use std::time::Duration;
+
+pub enum Command {
+    Envelope(Envelope),
+    Ask { ask: Ask, waitMs: u64, reply: Option<SyncSender<Response>> },
+    Probed { instance: Name, sound: bool },
+    Stop,
+    End,
+}
+
+/// The one owner of the node's tables: works through its queue, carries out effects.
+pub struct Core {
+    node: DataNode,
+    links: Links,
+    asks: Slab<Option<SyncSender<Response>>>,
+    shared: Arc<Shared>,
+}
+
+impl Core {
+    pub fn new(node: DataNode, shared: Arc<Shared>) -> Self {
+        let links = Links::new(node.own().address);
+        Core { node, links, asks: Slab::default(), shared }
+    }
+
+    pub fn run(mut self, queue: Receiver<Command>) {
+        let mut pulseMs = 0;
+        loop {
+            let nowMs = now_ms();
+            if nowMs >= pulseMs {
+                pulseMs = nowMs + PULSE_MS;
+                self.handle(nowMs, Input::Pulse);
+            }
+            let waitMs = pulseMs.saturating_sub(now_ms()).max(1);
+            match queue.recv_timeout(Duration::from_millis(waitMs)) {
+                Ok(Command::End) | Err(RecvTimeoutError::Disconnected) => return,
+                Ok(command) => self.work(command),
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+        }
+    }
+
+    fn work(&mut self, command: Command) {
+        let nowMs = now_ms();
+        match command {
+            Command::Envelope(envelope) => self.handle(nowMs, Input::Receive(envelope)),
+            Command::Ask { ask, waitMs, reply } => {
+                let key = self.asks.insert(reply);
+                self.handle(nowMs, Input::Ask { key, ask, waitMs });
+            }
+            Command::Probed { instance, sound } => {
+                self.handle(nowMs, Input::Probed { instance, sound })
+            }
+            Command::Stop => self.handle(nowMs, Input::Stop),
+            Command::End => {}
+        }
+    }
+
+    fn handle(&mut self, nowMs: u64, input: Input) {
+        for effect in self.node.handle(nowMs, input) {
+            match effect {
+                Effect::Send { to, message } => self.links.send(to, message),
+                Effect::Answer { key, response } => {
+                    if let Some(Some(reply)) = self.asks.take(key) {
+                        let _ = reply.try_send(response);
+                    }
+                }
+                Effect::Publish { state, offset } => {
+                    let old = self.shared.table.load();
+                    let table = Table::new(state, offset, &old);
+                    let pools = Pools::carry(&self.shared.pools.load(), &table);
+                    self.shared.pools.store(Arc::new(pools));
+                    self.shared.table.store(Arc::new(table));
+                }
+                Effect::Hold { untilMs } => self.shared.holdUntilMs.store(untilMs, Release),
+                Effect::Say(text) => info!("node: {text}"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/programs/data-plane/src/downstream/body.rs
@@ -0,0 +1,96 @@
+use super::connection::Connection;
+use super::head::{Length, Reject};
+use crate::memory::{Memory, Reserved};
+use std::sync::Arc;
+
+const CHUNK_LINE_BYTES: usize = 1024;
+
+pub struct Body {
+    pub bytes: Vec<u8>,
+    _reserved: Reserved,
+}
+
+/// Takes in the whole body, within the route's bound and the node's memory. A body that ends short
+/// gives an error, and is never passed on.
+pub fn read(
+    connection: &mut Connection,
+    length: Length,
+    mostBytes: u64,
+    memory: &Arc<Memory>,
+    deadlineMs: u64,
+) -> Result<Body, Reject> {
+    let mut reserved = memory.reserve(0).ok_or(FULL)?;
+    let mut bytes = Vec::new();
+    match length {
+        Length::None => {}
+        Length::Sized(sizeBytes) => {
+            if sizeBytes > mostBytes {
+                return Err(TOO_LARGE);
+            }
+            if !reserved.grow(sizeBytes) {
+                return Err(FULL);
+            }
+            connection.take(sizeBytes as usize, &mut bytes, deadlineMs)?;
+        }
+        Length::Chunked => loop {
+            let sizeBytes = chunk_size(connection, deadlineMs)?;
+            if sizeBytes == 0 {
+                skip_trailers(connection, deadlineMs)?;
+                break;
+            }
+            if sizeBytes > mostBytes.saturating_sub(bytes.len() as u64) {
+                return Err(TOO_LARGE);
+            }
+            if !reserved.grow(sizeBytes) {
+                return Err(FULL);
+            }
+            connection.take(sizeBytes as usize, &mut bytes, deadlineMs)?;
+            let mut end = Vec::new();
+            connection.take(2, &mut end, deadlineMs)?;
+            if end != b"\r\n" {
+                return Err(BAD_CHUNK);
+            }
+        },
+    }
+    Ok(Body { bytes, _reserved: reserved })
+}
+
+pub const TOO_LARGE: Reject = Reject { status: 413, why: "the body is too large" };
+pub const FULL: Reject = Reject { status: 503, why: "this node is full" };
+const BAD_CHUNK: Reject = Reject { status: 400, why: "a chunk is malformed" };
+
+fn chunk_size(connection: &mut Connection, deadlineMs: u64) -> Result<u64, Reject> {
+    loop {
+        match httparse::parse_chunk_size(connection.buffered()) {
+            Ok(httparse::Status::Complete((used, sizeBytes))) => {
+                connection.consume(used);
+                return Ok(sizeBytes);
+            }
+            Ok(httparse::Status::Partial) if connection.buffered().len() < CHUNK_LINE_BYTES => {
+                connection.more(deadlineMs)?;
+            }
+            _ => return Err(BAD_CHUNK),
+        }
+    }
+}
+
+fn skip_trailers(connection: &mut Connection, deadlineMs: u64) -> Result<(), Reject> {
+    let mut skipped = 0;
+    loop {
+        let line = connection.buffered().windows(2).position(|pair| pair == b"\r\n");
+        match line {
+            Some(0) => {
+                connection.consume(2);
+                return Ok(());
+            }
+            Some(at) => {
+                connection.consume(at + 2);
+                skipped += at + 2;
+            }
+            None => connection.more(deadlineMs)?,
+        }
+        if skipped + connection.buffered().len() > 8 * CHUNK_LINE_BYTES {
+            return Err(BAD_CHUNK);
+        }
+    }
+}
--- /dev/null
+++ b/programs/data-plane/src/downstream/connection.rs
@@ -0,0 +1,191 @@
+use super::head::{self, Head, Reject, passed_on};
+use postbarrow_constants::traffic::*;
+use postbarrow_node::TargetResponse;
+use postbarrow_transport::now_ms;
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+const READ_BYTES: usize = 16 * 1024;
+const LOOK_UP_MS: u64 = 250;
+
+/// One client connection, read with deadlines so that none holds its thread for ever.
+pub struct Connection {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+    start: usize,
+}
+
+pub enum Next {
+    Head(Head),
+    Reject(Reject),
+    Closed,
+}
+
+const GONE: Reject = Reject { status: 0, why: "the client is gone" };
+const SLOW: Reject = Reject { status: 408, why: "the request did not come in time" };
+
+impl Connection {
+    pub fn new(stream: TcpStream) -> std::io::Result<Self> {
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(Duration::from_millis(LOOK_UP_MS)))?;
+        stream.set_write_timeout(Some(Duration::from_millis(DOWNSTREAM_WRITE_MS)))?;
+        Ok(Connection { stream, buffer: Vec::new(), start: 0 })
+    }
+
+    /// Waits for the next request; an idle connection ends when the node stops.
+    pub fn next(&mut self, stopping: impl Fn() -> bool) -> Next {
+        let idleUntilMs = now_ms() + DOWNSTREAM_IDLE_MS;
+        while self.buffered().is_empty() {
+            if stopping() || now_ms() >= idleUntilMs {
+                return Next::Closed;
+            }
+            if self.fill().is_err() {
+                return Next::Closed;
+            }
+        }
+        let deadlineMs = now_ms() + HEAD_WAIT_MS;
+        loop {
+            match head::parse(self.buffered()) {
+                Ok(Some((head, length))) => {
+                    self.consume(length);
+                    return Next::Head(head);
+                }
+                Ok(None) if self.buffered().len() > HEAD_BYTES => {
+                    return Next::Reject(Reject { status: 431, why: "the head is too large" });
+                }
+                Ok(None) => match self.more(deadlineMs) {
+                    Ok(()) => {}
+                    Err(reject) if reject == GONE => return Next::Closed,
+                    Err(reject) => return Next::Reject(reject),
+                },
+                Err(reject) => return Next::Reject(reject),
+            }
+        }
+    }
+
+    pub fn buffered(&self) -> &[u8] {
+        &self.buffer[self.start..]
+    }
+
+    pub fn consume(&mut self, length: usize) {
+        self.start += length;
+        if self.start == self.buffer.len() {
+            self.buffer.clear();
+            self.start = 0;
+        } else if self.start > READ_BYTES {
+            self.buffer.drain(..self.start);
+            self.start = 0;
+        }
+    }
+
+    /// True if bytes came, false if none did yet.
+    fn fill(&mut self) -> std::io::Result<bool> {
+        let mut part = [0; READ_BYTES];
+        match self.stream.read(&mut part) {
+            Ok(0) => Err(ErrorKind::UnexpectedEof.into()),
+            Ok(length) => {
+                self.buffer.extend_from_slice(&part[..length]);
+                Ok(true)
+            }
+            Err(error) => match error.kind() {
+                ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted => Ok(false),
+                _ => Err(error),
+            },
+        }
+    }
+
+    pub fn more(&mut self, deadlineMs: u64) -> Result<(), Reject> {
+        loop {
+            if now_ms() >= deadlineMs {
+                return Err(SLOW);
+            }
+            match self.fill() {
+                Ok(true) => return Ok(()),
+                Ok(false) => {}
+                Err(_) => return Err(GONE),
+            }
+        }
+    }
+
+    pub fn take(
+        &mut self,
+        length: usize,
+        into: &mut Vec<u8>,
+        deadlineMs: u64,
+    ) -> Result<(), Reject> {
+        let mut left = length;
+        loop {
+            let ready = left.min(self.buffered().len());
+            into.extend_from_slice(&self.buffered()[..ready]);
+            self.consume(ready);
+            left -= ready;
+            if left == 0 {
+                return Ok(());
+            }
+            self.more(deadlineMs)?;
+        }
+    }
+
+    pub fn go_on(&mut self) -> std::io::Result<()> {
+        self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+    }
+
+    /// Writes a whole response; its length is always told, so a cut one never looks whole.
+    pub fn write(
+        &mut self,
+        response: &TargetResponse,
+        method: &str,
+        close: bool,
+    ) -> std::io::Result<()> {
+        let mut out = Vec::with_capacity(512 + response.body.len());
+        write!(out, "HTTP/1.1 {} {}\r\n", response.status, reason(response.status))?;
+        let mut told = None;
+        for (name, value) in &response.headers {
+            if name.eq_ignore_ascii_case("content-length") {
+                told = Some(value.clone());
+            }
+        }
+        for (name, value) in passed_on(&response.headers) {
+            write!(out, "{name}: {value}\r\n")?;
+        }
+        let bodiless = matches!(response.status, 100..=199 | 204 | 304);
+        if method == "HEAD" || response.status == 304 {
+            if let Some(length) = told {
+                write!(out, "Content-Length: {length}\r\n")?;
+            }
+        } else if !bodiless {
+            write!(out, "Content-Length: {}\r\n", response.body.len())?;
+        }
+        if close {
+            out.extend_from_slice(b"Connection: close\r\n");
+        }
+        out.extend_from_slice(b"\r\n");
+        if method != "HEAD" && !bodiless {
+            out.extend_from_slice(&response.body);
+        }
+        self.stream.write_all(&out)
+    }
+
+    /// Lets a client that still sends read its refusal before the connection goes.
+    pub fn linger(&mut self) {
+        let _ = self.stream.shutdown(std::net::Shutdown::Write);
+        let untilMs = now_ms() + 2 * LOOK_UP_MS;
+        let mut part = [0; READ_BYTES];
+        while now_ms() < untilMs {
+            match self.stream.read(&mut part) {
+                Ok(0) => return,
+                Ok(_) => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    ureq::http::StatusCode::from_u16(status)
+        .ok()
+        .and_then(|status| status.canonical_reason())
+        .unwrap_or("Status")
+}
--- /dev/null
+++ b/programs/data-plane/src/downstream/head.rs
@@ -0,0 +1,194 @@
+use postbarrow_constants::traffic::HEADERS;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Length {
+    None,
+    Sized(u64),
+    Chunked,
+}
+
+#[derive(Clone, Debug)]
+pub struct Head {
+    pub method: String,
+    /// Path and query as they came.
+    pub target: String,
+    pub headers: Vec<(String, String)>,
+    pub length: Length,
+    pub close: bool,
+    pub waits: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Reject {
+    pub status: u16,
+    pub why: &'static str,
+}
+
+const fn reject(status: u16, why: &'static str) -> Reject {
+    Reject { status, why }
+}
+
+impl Head {
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or("")
+    }
+    pub fn query(&self) -> &str {
+        self.target.split_once('?').map_or("", |(_, query)| query)
+    }
+    pub fn header(&self, name: &str) -> Option<&str> {
+        values(&self.headers, name).next()
+    }
+}
+
+fn values<'h>(headers: &'h [(String, String)], name: &str) -> impl Iterator<Item = &'h str> {
+    let name = name.to_string();
+    headers
+        .iter()
+        .filter(move |(known, _)| known.eq_ignore_ascii_case(&name))
+        .map(|(_, value)| value.as_str())
+}
+
+/// Parses a head if it is whole; the second value is its length in bytes.
+pub fn parse(bytes: &[u8]) -> Result<Option<(Head, usize)>, Reject> {
+    let mut room = [httparse::EMPTY_HEADER; HEADERS];
+    let mut parsed = httparse::Request::new(&mut room);
+    let length = match parsed.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::TooManyHeaders) => return Err(reject(431, "too many headers")),
+        Err(httparse::Error::Version) => return Err(reject(505, "only HTTP/1.0 and 1.1")),
+        Err(_) => return Err(reject(400, "the head is not HTTP/1.1")),
+    };
+    let old = parsed.version == Some(0);
+    let mut headers = Vec::with_capacity(parsed.headers.len());
+    for header in parsed.headers.iter() {
+        let value = std::str::from_utf8(header.value)
+            .map_err(|_| reject(400, "a header's value is not UTF-8"))?;
+        headers.push((header.name.to_string(), value.to_string()));
+    }
+    let target = parsed.path.unwrap_or_default().to_string();
+    if !target.starts_with('/') {
+        return Err(reject(400, "the target must begin with /"));
+    }
+    if target.contains('#') {
+        return Err(reject(400, "the target must not have a fragment"));
+    }
+    let hosts = values(&headers, "host").count();
+    if hosts > 1 || (hosts == 0 && !old) {
+        return Err(reject(400, "exactly one Host is needed"));
+    }
+    let body = body_length(&headers, old)?;
+    let connection = values(&headers, "connection").collect::<Vec<_>>().join(",");
+    let says =
+        |word: &str| connection.split(',').any(|token| token.trim().eq_ignore_ascii_case(word));
+    let waits = values(&headers, "expect").any(|value| value.eq_ignore_ascii_case("100-continue"));
+    let head = Head {
+        method: parsed.method.unwrap_or_default().to_string(),
+        target,
+        close: says("close") || (old && !says("keep-alive")),
+        length: body,
+        headers,
+        waits,
+    };
+    Ok(Some((head, length)))
+}
+
+/// One clear length or none: anything that two readers could read two ways is refused.
+fn body_length(headers: &[(String, String)], old: bool) -> Result<Length, Reject> {
+    let lengths: Vec<&str> = values(headers, "content-length").collect();
+    let codings: Vec<&str> = values(headers, "transfer-encoding").collect();
+    if !lengths.is_empty() && !codings.is_empty() {
+        return Err(reject(400, "Content-Length together with Transfer-Encoding"));
+    }
+    if lengths.len() > 1 {
+        return Err(reject(400, "more than one Content-Length"));
+    }
+    if let Some(coding) = codings.first() {
+        if old || codings.len() > 1 || !coding.trim().eq_ignore_ascii_case("chunked") {
+            return Err(reject(501, "the only Transfer-Encoding is chunked"));
+        }
+        return Ok(Length::Chunked);
+    }
+    match lengths.first() {
+        None => Ok(Length::None),
+        Some(text) if !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit()) => {
+            text.parse().map(Length::Sized).map_err(|_| reject(400, "Content-Length is too large"))
+        }
+        Some(_) => Err(reject(400, "Content-Length is not a number")),
+    }
+}
+
+const HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Headers that go on: all but those that speak of one connection, and the length, which is made anew.
+pub fn passed_on(headers: &[(String, String)]) -> Vec<(String, String)> {
+    let named: Vec<String> = values(headers, "connection")
+        .flat_map(|value| value.split(','))
+        .map(|token| token.trim().to_ascii_lowercase())
+        .collect();
+    headers
+        .iter()
+        .filter(|(name, _)| {
+            let name = name.to_ascii_lowercase();
+            !HOP.contains(&name.as_str())
+                && !named.contains(&name)
+                && name != "content-length"
+                && name != "expect"
+        })
+        .cloned()
+        .collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn status(text: &str) -> u16 {
+        match parse(text.as_bytes()) {
+            Ok(Some(_)) => 200,
+            Ok(None) => 0,
+            Err(reject) => reject.status,
+        }
+    }
+
+    #[test]
+    fn what_two_readers_could_read_two_ways_is_refused() {
+        let with = |lines: &str| status(&format!("POST /a HTTP/1.1\r\nHost: h\r\n{lines}\r\n"));
+        assert_eq!(with("Content-Length: 3\r\n"), 200);
+        assert_eq!(with("Content-Length: 3\r\nContent-Length: 4\r\n"), 400);
+        assert_eq!(with("Content-Length: 3\r\nContent-Length: 3\r\n"), 400);
+        assert_eq!(with("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"), 400);
+        assert_eq!(with("Content-Length: +3\r\n"), 400);
+        assert_eq!(with("Content-Length: 99999999999999999999999\r\n"), 400);
+        assert_eq!(with("Transfer-Encoding: gzip, chunked\r\n"), 501);
+        assert_eq!(with("Transfer-Encoding : chunked\r\n"), 400);
+        assert_eq!(with("X: a\r\n b\r\n"), 400);
+        assert_eq!(status("GET /a HTTP/1.1\r\n\r\n"), 400);
+        assert_eq!(status("GET http://h/a HTTP/1.1\r\nHost: h\r\n\r\n"), 400);
+        assert_eq!(status("GET /a HTTP/1.1\r\nHost: h\r\n"), 0);
+    }
+
+    #[test]
+    fn repeated_headers_go_on_and_those_of_the_connection_do_not() {
+        let text = "GET /a%2Fb?c=%20&c HTTP/1.1\r\nHost: h\r\nX-A: 1\r\nx-a: 2\r\nConnection: x-b, close\r\nX-B: 3\r\nTE: x\r\n\r\n";
+        let (head, length) = parse(text.as_bytes()).unwrap().unwrap();
+        assert_eq!(length, text.len());
+        assert_eq!(head.target, "/a%2Fb?c=%20&c");
+        assert!(head.close);
+        let passed: Vec<String> = passed_on(&head.headers)
+            .iter()
+            .map(|(name, value)| format!("{name}={value}"))
+            .collect();
+        assert_eq!(passed, ["Host=h", "X-A=1", "x-a=2"]);
+    }
+}
--- /dev/null
+++ b/programs/data-plane/src/downstream/listen.rs
@@ -0,0 +1,51 @@
+use super::connection::Connection;
+use super::serve::serve;
+use crate::share::Shared;
+use log::warn;
+use postbarrow_constants::traffic::{DOWNSTREAMS, STACK_BYTES};
+use std::io::Write;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::SeqCst;
+use std::thread;
+
+const FULL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nPostbarrow-Outcome: not-run\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+
+/// Takes client connections, each on a small thread, up to a bound.
+pub fn listen(listener: TcpListener, shared: Arc<Shared>) -> std::io::Result<()> {
+    thread::Builder::new().name("downstream".into()).spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = match stream {
+                Ok(stream) => stream,
+                Err(error) => {
+                    warn!("downstream: accept: {error}");
+                    thread::sleep(std::time::Duration::from_millis(10));
+                    continue;
+                }
+            };
+            if shared.closed.load(SeqCst) {
+                return;
+            }
+            if shared.downstreams.fetch_add(1, SeqCst) >= DOWNSTREAMS {
+                shared.downstreams.fetch_sub(1, SeqCst);
+                let _ = stream.set_nonblocking(true);
+                let _ = stream.write_all(FULL);
+                continue;
+            }
+            let here = shared.clone();
+            let spawned = thread::Builder::new()
+                .name("client".into())
+                .stack_size(4 * STACK_BYTES)
+                .spawn(move || {
+                    if let Ok(connection) = Connection::new(stream) {
+                        serve(connection, &here);
+                    }
+                    here.downstreams.fetch_sub(1, SeqCst);
+                });
+            if spawned.is_err() {
+                shared.downstreams.fetch_sub(1, SeqCst);
+            }
+        }
+    })?;
+    Ok(())
+}
--- /dev/null
+++ b/programs/data-plane/src/downstream/mod.rs
@@ -0,0 +1,7 @@
+pub mod body;
+pub mod connection;
+pub mod head;
+mod listen;
+mod serve;
+
+pub use listen::listen;
--- /dev/null
+++ b/programs/data-plane/src/downstream/serve.rs
@@ -0,0 +1,138 @@
+use super::body;
+use super::connection::{Connection, Next};
+use super::head::{Head, Length, Reject};
+use crate::share::{Place, Shared};
+use crate::{ask, calls};
+use postbarrow_constants::traffic::*;
+use postbarrow_node::{About, TargetResponse, Told, Verdict};
+use postbarrow_routing::{Entry, Found, Refusal};
+use postbarrow_state::Kind;
+use postbarrow_transport::now_ms;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
+
+/// Serves one client connection until either side ends it.
+pub fn serve(mut connection: Connection, shared: &Shared) {
+    loop {
+        let head = match connection.next(|| shared.stopping.load(Relaxed)) {
+            Next::Head(head) => head,
+            Next::Closed => return,
+            Next::Reject(reject) => return refuse(&mut connection, reject),
+        };
+        let last = |head: &Head| head.close || shared.stopping.load(Relaxed);
+        match one(&mut connection, shared, &head) {
+            Ok(response) => {
+                let close = last(&head);
+                if connection.write(&response, &head.method, close).is_err() || close {
+                    return;
+                }
+            }
+            Err(Unread::Refused(response)) => {
+                let _ = connection.write(&response, &head.method, true);
+                return connection.linger();
+            }
+            Err(Unread::Rejected(reject)) => return refuse(&mut connection, reject),
+        }
+    }
+}
+
+fn refuse(connection: &mut Connection, reject: Reject) {
+    if reject.status != 0 {
+        let response = calls::error(reject.status, reject.why);
+        let _ = connection.write(&response, "GET", true);
+        connection.linger();
+    }
+}
+
+/// Ends that leave a body unread, so that the connection can't go on.
+enum Unread {
+    Refused(TargetResponse),
+    Rejected(Reject),
+}
+
+fn one(
+    connection: &mut Connection,
+    shared: &Shared,
+    head: &Head,
+) -> Result<TargetResponse, Unread> {
+    let startMs = now_ms();
+    if head.path() == "/ready" {
+        skip_body(connection, shared, head)?;
+        return Ok(calls::ready(shared));
+    }
+    if head.path().starts_with("/coordination/") {
+        let body = read_body(connection, shared, head, calls::BODY_BYTES)?;
+        return Ok(calls::serve(shared, head, &body.bytes));
+    }
+    let turned = |about: About, told| Unread::Refused(Verdict { told, about }.into_response());
+    let keyed = head.header("idempotency-key").is_some();
+    let unread = About { oneTime: keyed, keyed, proved: false };
+    if !shared.serves() {
+        return Err(turned(unread, Told::Unready));
+    }
+    let table = shared.table.load_full();
+    let entry = match table.find(&head.method, head.path(), &head.headers) {
+        Found::Route(entry) => entry,
+        Found::NoRoute => return Err(turned(unread, Told::NoRoute)),
+        Found::OtherMethods(methods) => return Err(turned(unread, Told::OtherMethods(methods))),
+    };
+    let oneTime = entry.route().kind == Kind::OneTime;
+    let about = About { oneTime, keyed, proved: false };
+    if oneTime && !ask::is_sound_key(head) {
+        let why = "the Idempotency-Key must be one of 1 to 200 printable characters, no colon";
+        return Err(Unread::Rejected(Reject { status: 400, why }));
+    }
+    let Some(_place) = Place::take(&shared.asks, ASKS) else {
+        return Err(turned(about, Told::Overloaded));
+    };
+    let _entered = match enter(&entry, table.nodes()) {
+        Ok(entered) => entered,
+        Err(Refusal::Rate) => return Err(turned(about, Told::OverRate)),
+        Err(Refusal::Concurrency) => return Err(turned(about, Told::OverConcurrency)),
+    };
+    let body = match read_body(connection, shared, head, entry.route().bodyBytes) {
+        Err(Unread::Rejected(reject)) if reject == body::TOO_LARGE => {
+            return Err(turned(about, Told::BodyTooLarge(entry.route().bodyBytes)));
+        }
+        Err(Unread::Rejected(reject)) if reject == body::FULL => {
+            return Err(turned(about, Told::Overloaded));
+        }
+        other => other?,
+    };
+    let startMs = if oneTime || !body.bytes.is_empty() { now_ms() } else { startMs };
+    Ok(ask::run(shared, entry, head, body.bytes, startMs))
+}
+
+fn read_body(
+    connection: &mut Connection,
+    shared: &Shared,
+    head: &Head,
+    mostBytes: u64,
+) -> Result<body::Body, Unread> {
+    if matches!(head.length, Length::Sized(sizeBytes) if sizeBytes > mostBytes) {
+        return Err(Unread::Rejected(body::TOO_LARGE));
+    }
+    if head.waits && connection.go_on().is_err() {
+        return Err(Unread::Rejected(Reject { status: 0, why: "the client is gone" }));
+    }
+    let deadlineMs = now_ms() + BODY_WAIT_MS;
+    body::read(connection, head.length, mostBytes, &shared.memory, deadlineMs)
+        .map_err(Unread::Rejected)
+}
+
+fn skip_body(connection: &mut Connection, shared: &Shared, head: &Head) -> Result<(), Unread> {
+    read_body(connection, shared, head, HEAD_BYTES as u64).map(|_| ())
+}
+
+struct Entered(Arc<Entry>);
+
+fn enter(entry: &Arc<Entry>, nodes: u64) -> Result<Entered, Refusal> {
+    entry.made.limits.enter(now_ms(), nodes)?;
+    Ok(Entered(entry.clone()))
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        self.0.made.limits.leave();
+    }
+}
--- /dev/null
+++ b/programs/data-plane/src/lib.rs
@@ -0,0 +1,86 @@
+//! The data plane: takes asks, finds their route, passes each to a proved target.
+
+mod ask;
+mod calls;
+mod core;
+mod downstream;
+mod memory;
+mod probe;
+mod read_call;
+mod share;
+mod upstream;
+mod wire;
+
+use crate::core::{Command, Core};
+use log::info;
+use postbarrow_constants::traffic::{STOP_UNREADY_MS, STOP_WAIT_MS};
+use postbarrow_node::DataNode;
+use postbarrow_startup::Startup;
+use postbarrow_state::{Name, Node};
+use postbarrow_transport::{listen, now_ms, random};
+use share::Shared;
+use std::io;
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::Ordering::*;
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::Duration;
+
+/// A running data-plane node.
+pub struct DataPlane {
+    shared: Arc<Shared>,
+}
+
+impl DataPlane {
+    pub fn start(startup: &Startup) -> io::Result<DataPlane> {
+        let links = TcpListener::bind(startup.address)?;
+        let http = TcpListener::bind(startup.http)?;
+        let own = Node {
+            incarnation: random(),
+            name: Name::from(&startup.name),
+            address: links.local_addr()?,
+            http: http.local_addr()?,
+            zone: Name::from(&startup.zone),
+        };
+        info!("node: {} is {:016x}, zone {}", own.name, own.incarnation, own.zone);
+        let (commands, queue) = channel();
+        let shared = Arc::new(Shared::new(own.clone(), commands));
+        let node = DataNode::new(own, startup.seeds.clone(), now_ms());
+        let core = Core::new(node, shared.clone());
+        thread::Builder::new().name("node".into()).spawn(move || core.run(queue))?;
+        let hand = shared.clone();
+        listen(links, move |envelope| {
+            hand.command(Command::Envelope(envelope));
+            true
+        })?;
+        let probing = shared.clone();
+        thread::Builder::new().name("probes".into()).spawn(move || probe::run(probing))?;
+        downstream::listen(http, shared.clone())?;
+        Ok(DataPlane { shared })
+    }
+
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
+    pub fn http(&self) -> std::net::SocketAddr {
+        self.shared.own.http
+    }
+
+    /// Unready first, then asks in flight finish, then the node ends.
+    pub fn stop(&self) {
+        info!("node: stops");
+        self.shared.stopping.store(true, SeqCst);
+        self.shared.command(Command::Stop);
+        thread::sleep(Duration::from_millis(STOP_UNREADY_MS));
+        self.shared.closed.store(true, SeqCst);
+        let _woken = TcpStream::connect(self.shared.own.http);
+        let untilMs = now_ms() + STOP_WAIT_MS;
+        while self.shared.downstreams.load(SeqCst) > 0 && now_ms() < untilMs {
+            thread::sleep(Duration::from_millis(20));
+        }
+        self.shared.command(Command::End);
+        info!("node: ends");
+    }
+}
--- a/programs/data-plane/src/main.rs
+++ b/programs/data-plane/src/main.rs
@@ -1,1 +1,95 @@
-fn main() {}
+use gumdrop::Options;
+use log::error;
+use postbarrow_data_plane::DataPlane;
+use postbarrow_startup::{Flags, Part, Startup, start_logs, stop_asked, watch_signals};
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Takes asks over HTTP and passes each to a target that the plan in force allows.
+#[derive(Debug, Options)]
+struct Cli {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(help = "print the version", short = "V")]
+    version: bool,
+    #[options(help = "read and check the settings, report every finding, and end", no_short)]
+    check: bool,
+    #[options(help = "settings file, JSON", meta = "FILE", short = "s")]
+    startup: Option<String>,
+    #[options(help = "this node's name", no_short)]
+    name: Option<String>,
+    #[options(help = "this node's zone", no_short)]
+    zone: Option<String>,
+    #[options(help = "address for other postbarrow processes", meta = "IP:PORT", no_short)]
+    address: Option<String>,
+    #[options(help = "address for callers", meta = "IP:PORT", no_short)]
+    http: Option<String>,
+    #[options(
+        help = "address of another process; give it three times",
+        meta = "IP:PORT",
+        no_short
+    )]
+    seed: Vec<String>,
+    #[options(help = "log file; standard error if not given", meta = "FILE", no_short)]
+    log: Option<String>,
+    #[options(help = "off, error, warn, info, debug or trace", meta = "LEVEL", no_short)]
+    level: Option<String>,
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse_args_default_or_exit();
+    if cli.version {
+        println!("postbarrow-data-plane {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let file = match cli.startup.as_ref().map(std::fs::read_to_string).transpose() {
+        Ok(file) => file.unwrap_or_else(|| "{}".into()),
+        Err(error) => {
+            eprintln!("{}: {error}", cli.startup.unwrap_or_default());
+            return ExitCode::from(2);
+        }
+    };
+    let flags = Flags {
+        name: cli.name,
+        zone: cli.zone,
+        address: cli.address,
+        http: cli.http,
+        seeds: cli.seed,
+        log: cli.log,
+        level: cli.level,
+        ..Flags::default()
+    };
+    let startup = match Startup::read(Part::DataPlane, &file, &flags) {
+        Ok(startup) => startup,
+        Err(findings) => {
+            let name = cli.startup.as_deref().unwrap_or("flags");
+            eprintln!("{:?}", findings.report(name, &file));
+            return ExitCode::from(2);
+        }
+    };
+    if cli.check {
+        println!("the settings are sound");
+        return ExitCode::SUCCESS;
+    }
+    run(&startup)
+}
+
+fn run(startup: &Startup) -> ExitCode {
+    if let Err(error) = start_logs(startup) {
+        eprintln!("logs: {error}");
+        return ExitCode::from(2);
+    }
+    watch_signals();
+    let plane = match DataPlane::start(startup) {
+        Ok(plane) => plane,
+        Err(error) => {
+            error!("node: does not start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    while !stop_asked() {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    plane.stop();
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/programs/data-plane/src/share.rs
@@ -0,0 +1,101 @@
+use crate::core::Command;
+use crate::memory::Memory;
+use crate::upstream::Pools;
+use arc_swap::ArcSwap;
+use postbarrow_constants::traffic::BODIES_BYTES;
+use postbarrow_messages::{Ask, Response};
+use postbarrow_routing::Table;
+use postbarrow_state::Node;
+use postbarrow_transport::now_ms;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::*};
+use std::sync::mpsc::{Sender, sync_channel};
+use std::time::Duration;
+
+/// What the threads of asks read: swapped whole or atomic, never locked.
+pub struct Shared {
+    pub own: Node,
+    pub table: ArcSwap<Table>,
+    pub pools: ArcSwap<Pools>,
+    pub holdUntilMs: AtomicU64,
+    pub stopping: AtomicBool,
+    /// No new client connections.
+    pub closed: AtomicBool,
+    pub memory: Arc<Memory>,
+    pub asks: AtomicUsize,
+    pub calls: AtomicUsize,
+    pub watches: AtomicUsize,
+    pub downstreams: AtomicUsize,
+    number: AtomicU64,
+    commands: Sender<Command>,
+}
+
+impl Shared {
+    pub fn new(own: Node, commands: Sender<Command>) -> Self {
+        Shared {
+            own,
+            table: ArcSwap::from_pointee(Table::empty()),
+            pools: ArcSwap::from_pointee(Pools::default()),
+            holdUntilMs: AtomicU64::new(0),
+            stopping: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
+            memory: Memory::new(BODIES_BYTES as u64),
+            asks: AtomicUsize::new(0),
+            calls: AtomicUsize::new(0),
+            watches: AtomicUsize::new(0),
+            downstreams: AtomicUsize::new(0),
+            number: AtomicU64::new(1),
+            commands,
+        }
+    }
+
+    /// The hold is looked at last, right before what it allows.
+    pub fn serves(&self) -> bool {
+        now_ms() < self.holdUntilMs.load(Acquire)
+    }
+
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.load(Relaxed) && self.serves() && self.table.load().state.plan.is_some()
+    }
+
+    pub fn number(&self) -> u64 {
+        self.number.fetch_add(1, Relaxed)
+    }
+
+    /// Asks the controller and waits for its response or the end of the time.
+    pub fn ask(&self, ask: Ask, waitMs: u64) -> Response {
+        let (reply, response) = sync_channel(1);
+        let waitMs = waitMs.max(1);
+        if self.commands.send(Command::Ask { ask, waitMs, reply: Some(reply) }).is_err() {
+            return Response::TimedOut;
+        }
+        let patience = Duration::from_millis(waitMs + 200);
+        response.recv_timeout(patience).unwrap_or(Response::TimedOut)
+    }
+
+    /// Tells the controller; sent again until it is taken, waited for by nobody.
+    pub fn tell(&self, ask: Ask, waitMs: u64) {
+        let _ = self.commands.send(Command::Ask { ask, waitMs, reply: None });
+    }
+
+    pub fn command(&self, command: Command) {
+        let _ = self.commands.send(command);
+    }
+}
+
+/// A place at work, given back when dropped.
+pub struct Place<'a>(&'a AtomicUsize);
+
+impl<'a> Place<'a> {
+    pub fn take(count: &'a AtomicUsize, most: usize) -> Option<Self> {
+        let taken =
+            count.fetch_update(Relaxed, Relaxed, |count| (count < most).then_some(count + 1));
+        taken.ok().map(|_| Place(count))
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Relaxed);
+    }
+}
--- /dev/null
+++ b/programs/data-plane/src/upstream.rs
@@ -0,0 +1,230 @@
+use crate::wire::{OnceConnector, Wire};
+use crossbeam_queue::ArrayQueue;
+use postbarrow_constants::traffic::*;
+use postbarrow_node::{Passed, TargetResponse};
+use postbarrow_reading::{Fields, Reading, text};
+use postbarrow_routing::Table;
+use postbarrow_state::{Labels, Name, Target};
+use postbarrow_transport::now_ms;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use ureq::http::{Request, Response, Uri, header};
+use ureq::unversioned::resolver::DefaultResolver;
+use ureq::{Agent, Body};
+
+/// One connection whose other end proved who it is.
+pub struct Proved {
+    agent: Agent,
+    wire: Arc<Wire>,
+    address: SocketAddr,
+    usedMs: u64,
+}
+
+type Idle = Arc<ArrayQueue<Proved>>;
+
+/// Idle proved connections by target; made anew with each image, so that none outlives its target.
+#[derive(Default)]
+pub struct Pools(HashMap<Name, (SocketAddr, Idle)>);
+
+impl Pools {
+    pub fn carry(old: &Pools, table: &Table) -> Pools {
+        let pool = |target: &Target| match old.0.get(&target.instance) {
+            Some((address, idle)) if *address == target.address => idle.clone(),
+            _ => Arc::new(ArrayQueue::new(IDLE_CONNECTIONS)),
+        };
+        let targets = table.state.targets.values();
+        Pools(
+            targets
+                .map(|target| (target.instance.clone(), (target.address, pool(target))))
+                .collect(),
+        )
+    }
+
+    pub fn take(&self, target: &Target) -> Option<Proved> {
+        let (address, idle) = self.0.get(&target.instance)?;
+        while *address == target.address {
+            let proved = idle.pop()?;
+            if now_ms() < proved.usedMs + IDLE_CONNECTION_MS {
+                return Some(proved);
+            }
+        }
+        None
+    }
+
+    pub fn give(&self, target: &Target, proved: Proved) {
+        if let Some((address, idle)) = self.0.get(&target.instance)
+            && *address == target.address
+        {
+            let _ = idle.push(proved);
+        }
+    }
+}
+
+impl Proved {
+    /// Opens a connection and asks on it who is there, before anything else may use it.
+    pub fn open(target: &Target) -> Result<(Proved, u64), String> {
+        let wire = Arc::new(Wire::default());
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .max_redirects_will_error(false)
+            .proxy(None)
+            .user_agent(ureq::config::AutoHeaderValue::None)
+            .accept(ureq::config::AutoHeaderValue::None)
+            .accept_encoding(ureq::config::AutoHeaderValue::None)
+            .allow_non_standard_methods(true)
+            .max_idle_connections(1)
+            .max_idle_connections_per_host(1)
+            .max_idle_age(Duration::from_millis(IDLE_CONNECTION_MS))
+            .max_response_header_size(HEAD_BYTES)
+            .no_delay(true)
+            .build();
+        let connector = OnceConnector::new(wire.clone());
+        let agent = Agent::with_parts(config, connector, DefaultResolver::default());
+        let mut proved = Proved { agent, wire, address: target.address, usedMs: now_ms() };
+        let occupancy = proved.prove(target)?;
+        Ok((proved, occupancy))
+    }
+
+    /// The probe: instance, service and labels must be the target's own; occupancy comes back.
+    pub fn prove(&mut self, target: &Target) -> Result<u64, String> {
+        let uri = format!("http://{}{PROOF_PATH}", self.address);
+        let request = Request::get(uri).body(()).map_err(|error| error.to_string())?;
+        let wait = Duration::from_millis(PROOF_WAIT_MS);
+        let request = self.agent.configure_request(request).timeout_global(Some(wait)).build();
+        let mut response = self.agent.run(request).map_err(|error| format!("probe: {error}"))?;
+        if response.status() != 200 {
+            return Err(format!("probe: status {}", response.status()));
+        }
+        let body = response.body_mut().with_config().limit(HEAD_BYTES as u64).read_to_string();
+        let proof = read_proof(&body.map_err(|error| format!("probe: {error}"))?)?;
+        if proof.instance != target.instance
+            || proof.service != target.service
+            || proof.labels != target.labels
+        {
+            return Err(format!("another target stands at {}", self.address));
+        }
+        self.usedMs = now_ms();
+        Ok(proof.occupancy)
+    }
+
+    /// Passes an ask on, once. The connection comes back only if it can be used again.
+    pub fn pass(
+        mut self,
+        method: &str,
+        target: &str,
+        headers: &[(String, String)],
+        body: Vec<u8>,
+        waitMs: u64,
+    ) -> (Passed, Option<Proved>) {
+        let before = self.wire.sent();
+        let unsent = |why: String| (Passed::Unsent(why), None);
+        let uri: Uri = match format!("http://{}{target}", self.address).parse() {
+            Ok(uri) => uri,
+            Err(error) => return unsent(format!("target of the ask: {error}")),
+        };
+        let mut request = Request::builder().method(method).uri(uri);
+        for (name, value) in headers {
+            request = request.header(name, value);
+        }
+        let wait = Duration::from_millis(waitMs.max(1));
+        let sent = if body.is_empty() && matches!(method, "GET" | "HEAD" | "OPTIONS" | "DELETE") {
+            request.body(()).map(|request| {
+                let request = self.agent.configure_request(request);
+                self.agent.run(request.timeout_global(Some(wait)).build())
+            })
+        } else {
+            request.body(body).map(|request| {
+                let request = self.agent.configure_request(request);
+                self.agent.run(request.timeout_global(Some(wait)).build())
+            })
+        };
+        let failed = |wire: &Wire, error: ureq::Error| {
+            if wire.sent() == before {
+                return Passed::Unsent(error.to_string());
+            }
+            Passed::Unknown {
+                late: matches!(error, ureq::Error::Timeout(_)),
+                why: error.to_string(),
+            }
+        };
+        let response = match sent {
+            Err(error) => return unsent(error.to_string()),
+            Ok(Err(error)) => return (failed(&self.wire, error), None),
+            Ok(Ok(response)) => response,
+        };
+        match whole(response, method) {
+            Ok((response, again)) => {
+                self.usedMs = now_ms();
+                (Passed::Whole(response), again.then_some(self))
+            }
+            Err(Some(error)) => (failed(&self.wire, error), None),
+            Err(None) => {
+                let why = "the response has no clear length".to_string();
+                (Passed::Unknown { late: false, why }, None)
+            }
+        }
+    }
+}
+
+/// Takes in the whole response. One whose end is only the connection's end could be cut, so it
+/// does not count as whole.
+fn whole(
+    mut response: Response<Body>,
+    method: &str,
+) -> Result<(TargetResponse, bool), Option<ureq::Error>> {
+    let count = |name| response.headers().get_all(name).iter().count();
+    let lengths = count(header::CONTENT_LENGTH);
+    let codings = count(header::TRANSFER_ENCODING);
+    let status = response.status().as_u16();
+    let bodiless = method == "HEAD" || matches!(status, 204 | 304);
+    if lengths + codings > 1 || (lengths + codings == 0 && !bodiless) {
+        return Err(None);
+    }
+    let chunked = response.headers().get(header::TRANSFER_ENCODING);
+    if chunked.is_some_and(|coding| !coding.as_bytes().eq_ignore_ascii_case(b"chunked")) {
+        return Err(None);
+    }
+    let close = response.headers().get_all(header::CONNECTION).iter().any(|value| {
+        value.to_str().is_ok_and(|value| value.to_ascii_lowercase().contains("close"))
+    });
+    let mut headers = Vec::new();
+    for (name, value) in response.headers() {
+        let Ok(value) = std::str::from_utf8(value.as_bytes()) else { return Err(None) };
+        headers.push((name.as_str().to_string(), value.to_string()));
+    }
+    let old = response.version() != ureq::http::Version::HTTP_11;
+    let limit = RESPONSE_BYTES as u64;
+    let body = response.body_mut().with_config().limit(limit).read_to_vec().map_err(Some)?;
+    Ok((TargetResponse { status, headers, body }, !close && !old))
+}
+
+struct Proof {
+    instance: String,
+    service: String,
+    labels: Labels,
+    occupancy: u64,
+}
+
+fn read_proof(given: &str) -> Result<Proof, String> {
+    let (value, mut reading) = Reading::parse(given).map_err(|findings| findings.to_string())?;
+    let mut proof = None;
+    if let Some(mut fields) = Fields::of(&value, "$", &mut reading) {
+        let instance = fields.text("instance", &mut reading).unwrap_or_default().to_string();
+        let service = fields.text("service", &mut reading).unwrap_or_default().to_string();
+        let occupancy = fields.number("occupancy", 0..=u64::MAX, &mut reading).unwrap_or(0);
+        let mut labels = Labels::new();
+        if fields.get("labels").is_some() {
+            for (label, place, value) in fields.named("labels", &mut reading) {
+                if let Some(value) = text(value, &place, &mut reading) {
+                    labels.insert(label.into(), value.into());
+                }
+            }
+        }
+        proof = Some(Proof { instance, service, labels, occupancy });
+    }
+    let read = reading.finish(proof).map_err(|findings| format!("probe: {findings}"))?;
+    read.ok_or_else(|| "probe: not an object".into())
+}
--- /dev/null
+++ b/tools/stand-ins/src/target.rs
@@ -0,0 +1,153 @@
+use crate::fault::{Fault, Faults};
+use crate::wire::{Ask, read, write};
+use facet::Facet;
+use gumdrop::Options;
+use postbarrow_constants::traffic::PROOF_PATH;
+use sha2::{Digest, Sha256};
+use std::collections::BTreeMap;
+use std::fs::{File, OpenOptions};
+use std::io::{self, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::time::Duration;
+
+#[derive(Debug, Options)]
+pub struct Place {
+    #[options(help = "print help")]
+    help: bool,
+    #[options(help = "address to listen on", meta = "IP:PORT", required, no_short)]
+    http: String,
+    #[options(help = "instance name", required, no_short)]
+    instance: String,
+    #[options(help = "service name", required, no_short)]
+    service: String,
+    #[options(help = "a label, NAME=VALUE; may be repeated", no_short)]
+    label: Vec<String>,
+    #[options(help = "file to which each run is appended", required, no_short)]
+    records: String,
+    #[options(help = "each run takes this long", default = "2", no_short)]
+    work_ms: u64,
+    #[options(help = "faults: lost, garbage, cut, endless, lie, double", default = "", no_short)]
+    faults: String,
+    #[options(help = "faults in a thousand runs", default = "0", no_short)]
+    per_mille: u64,
+    #[options(help = "seed of the faults", default = "1", no_short)]
+    seed: u64,
+}
+
+#[derive(Facet)]
+struct Proof {
+    instance: String,
+    service: String,
+    labels: BTreeMap<String, String>,
+    occupancy: u64,
+}
+
+#[derive(Facet)]
+struct Ran {
+    id: String,
+    instance: String,
+    digest: String,
+    pad: String,
+}
+
+struct Target {
+    place: Place,
+    labels: BTreeMap<String, String>,
+    records: File,
+    faults: Faults,
+    occupancy: AtomicU64,
+}
+
+pub fn run(place: Place) -> Result<(), String> {
+    let listener = TcpListener::bind(&place.http).map_err(|error| error.to_string())?;
+    let records = OpenOptions::new().create(true).append(true).open(&place.records);
+    let labels = place.label.iter().filter_map(|label| label.split_once('='));
+    let target = Arc::new(Target {
+        labels: labels.map(|(name, value)| (name.to_string(), value.to_string())).collect(),
+        records: records.map_err(|error| format!("{}: {error}", place.records))?,
+        faults: Faults::read(&place.faults, place.per_mille, place.seed)?,
+        occupancy: AtomicU64::new(0),
+        place,
+    });
+    for stream in listener.incoming().flatten() {
+        let target = target.clone();
+        std::thread::spawn(move || serve(&target, stream));
+    }
+    Ok(())
+}
+
+fn serve(target: &Target, mut stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let mut buffer = Vec::new();
+    while let Ok(Some(ask)) = read(&mut stream, &mut buffer) {
+        if one(target, &mut stream, &ask).is_err() {
+            return;
+        }
+    }
+}
+
+fn one(target: &Target, stream: &mut TcpStream, ask: &Ask) -> io::Result<()> {
+    if ask.target == PROOF_PATH {
+        let proof = Proof {
+            instance: target.place.instance.clone(),
+            service: target.place.service.clone(),
+            labels: target.labels.clone(),
+            occupancy: target.occupancy.load(Relaxed),
+        };
+        return write(stream, 200, "-", &facet_json::to_vec(&proof).unwrap_or_default());
+    }
+    target.occupancy.fetch_add(1, Relaxed);
+    let ended = work(target, stream, ask);
+    target.occupancy.fetch_sub(1, Relaxed);
+    ended
+}
+
+fn work(target: &Target, stream: &mut TcpStream, ask: &Ask) -> io::Result<()> {
+    let id = ask.header("x-id").unwrap_or("-").to_string();
+    let digest = hex(&Sha256::digest(&ask.body));
+    let fault = target.faults.draw();
+    let runs = match fault {
+        Fault::Lie => 0,
+        Fault::Double => 2,
+        _ => 1,
+    };
+    for _ in 0..runs {
+        let line =
+            format!("{id} {} {} {digest} {}\n", target.place.instance, ask.method, ask.target);
+        (&target.records).write_all(line.as_bytes())?;
+    }
+    std::thread::sleep(Duration::from_millis(target.place.work_ms));
+    let pad = "p".repeat(id.bytes().map(usize::from).sum::<usize>() % 4_096);
+    let ran = Ran { id, instance: target.place.instance.clone(), digest, pad };
+    let body = facet_json::to_vec(&ran).unwrap_or_default();
+    let whole = hex(&Sha256::digest(&body));
+    let ended: io::Result<()> = Err(io::ErrorKind::ConnectionAborted.into());
+    match fault {
+        Fault::Lost => ended,
+        Fault::Garbage => {
+            stream.write_all(b"\x16\x03\x01 not http\r\n\r\n")?;
+            ended
+        }
+        Fault::Cut => {
+            let length = body.len();
+            write!(
+                stream,
+                "HTTP/1.1 200 OK\r\nX-Digest: {whole}\r\nContent-Length: {length}\r\n\r\n"
+            )?;
+            stream.write_all(&body[..length / 2])?;
+            ended
+        }
+        Fault::Endless => {
+            write!(stream, "HTTP/1.1 200 OK\r\nX-Digest: {whole}\r\nConnection: close\r\n\r\n")?;
+            stream.write_all(&body[..body.len() / 2])?;
+            ended
+        }
+        _ => write(stream, 200, &whole, &body),
+    }
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
