--- a/crates/node/src/course.rs
+++ b/crates/node/src/course.rs
@@ -1,67 +1,12 @@
+use crate::step::{Event, Go, Now, Passed, Step, TargetResponse};
 use crate::verdict::{About, Told, Verdict};
 use postbarrow_constants::coordination::{KEPT_RESPONSE_BYTES, TICKET_USE_MS};
 use postbarrow_constants::traffic::{GOES, TICKETED_GOES};
 use postbarrow_messages::Response;
-use postbarrow_routing::{Entry, Load, Table, mix};
-use postbarrow_state::{Digest, Incarnation, Kept, Kind, Name, Settlement, Target, Ticket};
+use postbarrow_routing::{Entry, Load, mix};
+use postbarrow_state::{Kept, Kind, Name, Settlement, Target, Ticket};
 use std::sync::Arc;
 
-/// What one ask is, beyond its bytes.
-#[derive(Clone)]
-pub struct Go {
-    pub key: Name,
-    pub keyed: bool,
-    pub digest: Digest,
-    pub node: Incarnation,
-    pub zone: Name,
-    pub startMs: u64,
-    pub seed: u64,
-}
-
-#[derive(Clone, Debug, PartialEq)]
-pub struct TargetResponse {
-    pub status: u16,
-    pub headers: Vec<(String, String)>,
-    pub body: Vec<u8>,
-}
-
-#[derive(Debug)]
-pub enum Passed {
-    Whole(TargetResponse),
-    /// Provably not a byte reached the target.
-    Unsent(String),
-    Unknown {
-        late: bool,
-        why: String,
-    },
-}
-
-pub enum Event {
-    Start,
-    Connected,
-    Unconnected(String),
-    Answered(Response),
-    Passed(Passed),
-}
-
-/// What the driver does next; each but Done is answered by one event.
-pub enum Step {
-    Connect { target: Arc<Target>, load: Arc<Load> },
-    AskTicket { ticket: Ticket, waitMs: u64 },
-    Pass { waitMs: u64 },
-    Settle { ticket: Ticket, settlement: Settlement, response: Option<Kept>, waitMs: u64 },
-    Done { verdict: Verdict, settle: Option<(Ticket, Settlement, Option<Kept>)> },
-}
-
-/// What the driver knows at the moment of an event.
-pub struct Now<'a> {
-    pub nowMs: u64,
-    pub table: &'a Table,
-    pub serves: bool,
-    /// A number this node never gave before.
-    pub number: u64,
-}
-
 pub struct Course {
     go: Go,
     entry: Arc<Entry>,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,9 +3,11 @@
 mod course;
 mod fresh;
 mod news;
+mod step;
 mod verdict;
 
-pub use course::{Course, Event, Go, Now, Passed, Step, TargetResponse};
+pub use course::Course;
+pub use step::{Event, Go, Now, Passed, Step, TargetResponse};
 pub use verdict::{About, OUTCOME, REPLAYED, Told, Verdict};
 
 use fresh::FreshBook;
--- /dev/null
+++ b/tools/fleet-runner/src/after.rs
@@ -0,0 +1,50 @@
+use crate::faults::Told;
+use crate::fleet::Fleet;
+
+const LEFT_MOST_MS: u128 = 2_500;
+const IN_FORCE_MOST_MS: u64 = 2_500;
+
+/// What the load's books can't see: how long a leaving target got asks, how long a plan took.
+pub fn check(fleet: &Fleet, told: &Told) -> Vec<String> {
+    let mut violations = Vec::new();
+    let mut lags = Vec::new();
+    for (instance, markedMs) in &told.left {
+        let file = format!("{}/records/{instance}", fleet.folder);
+        let text = std::fs::read_to_string(file).unwrap_or_default();
+        let last = text.lines().filter_map(|line| line.rsplit(' ').next()?.parse::<u128>().ok());
+        let lagMs = last.max().unwrap_or(0).saturating_sub(*markedMs);
+        lags.push(lagMs);
+        if lagMs > LEFT_MOST_MS {
+            violations
+                .push(format!("{instance} ran an ask {lagMs} ms after the list showed it leave"));
+        }
+    }
+    if !lags.is_empty() {
+        println!("fleet: last ask after the list's mark, ms: {lags:?}");
+    }
+    if !told.inForceMs.is_empty() {
+        println!("fleet: acknowledged to in force on every ready node, ms: {:?}", told.inForceMs);
+    }
+    for tookMs in told.inForceMs.iter().filter(|tookMs| **tookMs > IN_FORCE_MOST_MS) {
+        violations.push(format!("a plan took {tookMs} ms to be in force"));
+    }
+    violations.extend(told.violations.iter().cloned());
+    match fleet.get("/plan") {
+        Some((200, text)) if text == told.plan => {}
+        Some((200, _)) if told.plan.is_empty() => {}
+        other => violations.push(format!(
+            "the plan in force does not read back as acknowledged: {:?}",
+            other.map(|(status, text)| (status, text.len()))
+        )),
+    }
+    if let Some((_, status)) = fleet.get("/status") {
+        let field = |name: &str| {
+            let after = status.split(&format!("\"{name}\":")).nth(1)?;
+            after.split([',', '}']).next().map(str::to_string)
+        };
+        for name in ["term", "watermark", "tickets", "openTickets", "longestStallMs"] {
+            println!("fleet: {name} {}", field(name).unwrap_or_default());
+        }
+    }
+    violations
+}
--- /dev/null
+++ b/tools/load-generator/src/book.rs
@@ -0,0 +1,165 @@
+use crate::client::{Ask, Kind, Told};
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub id: String,
+    pub instance: String,
+    pub method: String,
+    pub digest: String,
+    pub target: String,
+}
+
+pub struct Budget {
+    pub seconds: f64,
+    pub allowance: f64,
+}
+
+pub fn read_runs(folder: &str) -> io::Result<Vec<Run>> {
+    let mut runs = Vec::new();
+    for file in std::fs::read_dir(folder)? {
+        let text = std::fs::read_to_string(file?.path())?;
+        for line in text.lines() {
+            let parts: Vec<&str> = line.split(' ').collect();
+            if let [id, instance, method, digest, target, _atMs] = parts[..] {
+                runs.push(Run {
+                    id: id.into(),
+                    instance: instance.into(),
+                    method: method.into(),
+                    digest: digest.into(),
+                    target: target.into(),
+                });
+            }
+        }
+    }
+    Ok(runs)
+}
+
+/// Compares what clients asked and were told with what targets ran.
+pub fn check(asks: &[Ask], runs: &[Run], budget: &Budget) -> Vec<String> {
+    let mut violations = Vec::new();
+    let known: HashMap<&str, &Ask> = asks.iter().map(|ask| (ask.id.as_str(), ask)).collect();
+    let mut byId: HashMap<&str, Vec<&Run>> = HashMap::new();
+    for run in runs {
+        byId.entry(run.id.as_str()).or_default().push(run);
+        let Some(ask) = known.get(run.id.as_str()) else {
+            violations.push(format!("{} ran {}, which no client sent", run.instance, run.id));
+            continue;
+        };
+        if run.digest != ask.digest || run.method != ask.method || run.target != ask.target {
+            violations.push(format!("{} ran {} altered", run.instance, run.id));
+        }
+        let service = run.instance.split('-').next().unwrap_or_default();
+        if service != service_of(ask.kind) {
+            violations.push(format!("{} ran {}, of another service", run.instance, run.id));
+        }
+    }
+    for ask in asks {
+        let ran = byId.get(ask.id.as_str()).map_or(&[][..], |runs| runs.as_slice());
+        if ask.kind != Kind::Lookup && ran.len() > 1 {
+            let where_: Vec<&str> = ran.iter().map(|run| run.instance.as_str()).collect();
+            violations.push(format!("{} ran {} times: {}", ask.id, ran.len(), where_.join(", ")));
+        }
+        let notRun = matches!(ask.told.last(), Some(Told::NotRun)) && ask.kind != Kind::Lookup;
+        if notRun && !ran.is_empty() {
+            violations.push(format!("{} was told not run, but {} ran it", ask.id, ran[0].instance));
+        }
+        if ask.told.contains(&Told::Ran) && ran.is_empty() {
+            violations.push(format!("{} was told a success no target gave", ask.id));
+        }
+        if let Some(wrong) = &ask.wrong {
+            violations.push(format!("{}: {wrong}", ask.id));
+        }
+    }
+    violations.extend(over_budget(asks, &byId, budget));
+    violations
+}
+
+fn over_budget(asks: &[Ask], byId: &HashMap<&str, Vec<&Run>>, budget: &Budget) -> Vec<String> {
+    let mut counts: BTreeMap<Kind, (usize, usize)> = BTreeMap::new();
+    for ask in asks {
+        let ran = byId.get(ask.id.as_str()).map_or(0, Vec::len);
+        let count = counts.entry(ask.kind).or_default();
+        count.0 += ask.told.len();
+        count.1 += ran.saturating_sub(ask.told.len());
+    }
+    let over = counts.into_iter().filter_map(|(kind, (asked, extra))| {
+        let most = asked as f64 / 5.0 + budget.allowance * budget.seconds;
+        (extra as f64 > most)
+            .then(|| format!("{kind:?}: {extra} extra tries for {asked} asks, over {most:.0}"))
+    });
+    over.collect()
+}
+
+pub fn service_of(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Lookup => "catalogue",
+        Kind::Posting => "ledger",
+        Kind::Upload => "photos",
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ask(kind: Kind, told: Told) -> Ask {
+        Ask {
+            id: "a".into(),
+            kind,
+            method: "POST",
+            target: "/t".into(),
+            digest: "d".into(),
+            key: None,
+            told: vec![told],
+            status: 200,
+            tookMs: 1.0,
+            wrong: None,
+            retryAfter: false,
+        }
+    }
+
+    fn run() -> Run {
+        Run {
+            id: "a".into(),
+            instance: "ledger-1".into(),
+            method: "POST".into(),
+            digest: "d".into(),
+            target: "/t".into(),
+        }
+    }
+
+    fn found(ask: Ask, runs: &[Run]) -> Vec<String> {
+        check(&[ask], runs, &Budget { seconds: 1.0, allowance: 0.0 })
+    }
+
+    #[test]
+    fn a_clean_book_has_no_violation() {
+        assert!(found(ask(Kind::Posting, Told::Ran), &[run()]).is_empty());
+        assert!(found(ask(Kind::Posting, Told::Unknown), &[run()]).is_empty());
+        assert!(found(ask(Kind::Posting, Told::Unknown), &[]).is_empty());
+        assert!(found(ask(Kind::Posting, Told::NotRun), &[]).is_empty());
+    }
+
+    #[test]
+    fn each_planted_violation_is_found() {
+        let posting = |told| ask(Kind::Posting, told);
+        let has = |violations: Vec<String>, text: &str| {
+            assert!(violations.iter().any(|found| found.contains(text)), "{violations:?}");
+        };
+        has(found(posting(Told::Ran), &[run(), run()]), "ran 2 times");
+        has(found(posting(Told::NotRun), &[run()]), "told not run");
+        has(found(posting(Told::Ran), &[]), "no target gave");
+        has(found(posting(Told::Ran), &[Run { id: "b".into(), ..run() }]), "no client sent");
+        has(found(posting(Told::Ran), &[Run { digest: "e".into(), ..run() }]), "altered");
+        has(found(posting(Told::Ran), &[Run { target: "/u".into(), ..run() }]), "altered");
+        let strange = Run { instance: "photos-1".into(), ..run() };
+        has(found(posting(Told::Ran), &[strange]), "another service");
+        let cut = Ask { wrong: Some("a body is not whole".into()), ..posting(Told::Ran) };
+        has(found(cut, &[run()]), "not whole");
+        let lookup = ask(Kind::Lookup, Told::Ran);
+        let again = Run { instance: "catalogue-1".into(), ..run() };
+        has(found(lookup, &[again.clone(), again.clone(), again]), "extra tries");
+    }
+}
--- a/tools/stand-ins/src/target.rs
+++ b/tools/stand-ins/src/target.rs
@@ -114,8 +114,8 @@
         _ => 1,
     };
     for _ in 0..runs {
-        let line =
-            format!("{id} {} {} {digest} {}\n", target.place.instance, ask.method, ask.target);
+        let (instance, atMs) = (&target.place.instance, wall_ms());
+        let line = format!("{id} {instance} {} {digest} {} {atMs}\n", ask.method, ask.target);
         (&target.records).write_all(line.as_bytes())?;
     }
     std::thread::sleep(Duration::from_millis(target.place.work_ms));
@@ -148,6 +148,12 @@
     }
 }
 
+fn wall_ms() -> u128 {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis())
+}
+
 fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
