--- a/programs/data-plane/src/calls.rs
+++ b/programs/data-plane/src/calls.rs
@@ -75,7 +75,7 @@
     json(if ready { 200 } else { 503 }, &Ready { ready, version, offset: table.offset })
 }
 
-pub fn serve(shared: &Shared, head: &Head, body: &[u8]) -> TargetResponse {
+pub fn serve(shared: &Shared, head: &Head, body: &[u8], gone: impl Fn() -> bool) -> TargetResponse {
     let call = match read_call(head, body) {
         Ok(call) => call,
         Err((status, why)) => return error(status, &why),
@@ -84,7 +84,7 @@
         let Some(_place) = Place::take(&shared.watches, WATCHES) else {
             return error(503, "too many watches at this node");
         };
-        return watch(shared, call);
+        return watch(shared, call, gone);
     }
     let Some(_place) = Place::take(&shared.calls, COORDINATION_ASKS) else {
         return error(503, "this node is full");
@@ -112,21 +112,22 @@
     Name::from(format!("{key}:{sum}"))
 }
 
-fn watch(shared: &Shared, call: Call) -> TargetResponse {
+/// A long poll; it ends early when the node stops or the client is gone.
+fn watch(shared: &Shared, call: Call, gone: impl Fn() -> bool) -> TargetResponse {
     let untilMs = now_ms() + WATCH_WAIT_MS;
     let first = matches!(call, Call::Watch { after: None, .. });
+    let over = || now_ms() >= untilMs || shared.stopping.load(Relaxed) || gone();
     loop {
         let call = call.clone();
         match shared.ask(Ask::Call { id: None, call }, ASK_CONTROLLER_MS) {
             Response::Outcome(Outcome::Events { events, next }) => {
-                let stopping = shared.stopping.load(Relaxed);
-                if first || !events.is_empty() || now_ms() >= untilMs || stopping {
+                if first || !events.is_empty() || over() {
                     return tell(Outcome::Events { events, next });
                 }
             }
             Response::Outcome(outcome) => return tell(outcome),
             Response::Refused(why) => return error(400, &why),
-            _ if now_ms() >= untilMs => return error(503, "no controller responds"),
+            _ if over() => return error(503, "no controller responds"),
             _ => {}
         }
     }
--- a/programs/data-plane/src/downstream/connection.rs
+++ b/programs/data-plane/src/downstream/connection.rs
@@ -127,6 +127,19 @@
         }
     }
 
+    /// Whether the client has closed its side, without taking a byte.
+    pub fn is_gone(&self) -> bool {
+        if self.stream.set_nonblocking(true).is_err() {
+            return true;
+        }
+        let seen = self.stream.peek(&mut [0]);
+        let _ = self.stream.set_nonblocking(false);
+        match seen {
+            Ok(length) => length == 0,
+            Err(error) => error.kind() != ErrorKind::WouldBlock,
+        }
+    }
+
     pub fn go_on(&mut self) -> std::io::Result<()> {
         self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
     }
--- a/programs/data-plane/src/downstream/serve.rs
+++ b/programs/data-plane/src/downstream/serve.rs
@@ -62,7 +62,7 @@
     }
     if head.path().starts_with("/coordination/") {
         let body = read_body(connection, shared, head, calls::BODY_BYTES)?;
-        return Ok(calls::serve(shared, head, &body.bytes));
+        return Ok(calls::serve(shared, head, &body.bytes, || connection.is_gone()));
     }
     let turned = |about: About, told| Unread::Refused(Verdict { told, about }.into_response());
     let keyed = head.header("idempotency-key").is_some();
