--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -9,6 +9,8 @@
     ask: Ask,
     againMs: u64,
     untilMs: u64,
+    /// Sends to the present controller that got no response.
+    unheard: u32,
 }
 
 #[derive(Default)]
@@ -34,17 +36,20 @@
             self.controller = controller;
             for open in self.open.values_mut() {
                 open.againMs = nowMs;
+                open.unheard = 0;
             }
         }
     }
 
     pub fn ask(&mut self, nowMs: u64, key: u64, ask: Ask, waitMs: u64) -> Vec<Effect> {
-        let open = Open { ask, againMs: nowMs, untilMs: nowMs.saturating_add(waitMs) };
+        let untilMs = nowMs.saturating_add(waitMs);
+        let open = Open { ask, againMs: nowMs, untilMs, unheard: 0 };
         self.open.insert(key, open);
         self.pulse(nowMs)
     }
 
     pub fn pulse(&mut self, nowMs: u64) -> Vec<Effect> {
+        self.doubt_the_silent(nowMs);
         let mut effects = Vec::new();
         let mut over = Vec::new();
         let to = self
@@ -56,6 +61,7 @@
                 over.push(*key);
             } else if nowMs >= open.againMs {
                 open.againMs = nowMs + ASK_AGAIN_MS;
+                open.unheard += 1;
                 if let Some(to) = to {
                     let message = Message::Ask { key: *key, ask: open.ask.clone() };
                     effects.push(Effect::Send { to, message });
@@ -73,6 +79,16 @@
         effects
     }
 
+    /// A controller that left two sends of one question unanswered may be gone.
+    fn doubt_the_silent(&mut self, nowMs: u64) {
+        let due = |open: &&mut Open| open.unheard >= 2 && nowMs >= open.againMs;
+        let silent: Vec<&mut Open> = self.open.values_mut().filter(due).collect();
+        if !silent.is_empty() {
+            self.controller = None;
+        }
+        silent.into_iter().for_each(|open| open.unheard = 0);
+    }
+
     /// A response to a question that is no longer open is nobody's.
     pub fn on_response(&mut self, nowMs: u64, key: u64, response: Response) -> Vec<Effect> {
         let Some(open) = self.open.get_mut(&key) else { return Vec::new() };
--- /dev/null
+++ b/crates/simulation/src/asks.rs
@@ -0,0 +1,223 @@
+use crate::book::Told;
+use crate::data::Waits;
+use crate::world::{Event, Who, World};
+use postbarrow_constants::coordination::SETTLE_WAIT_MS;
+use postbarrow_messages::Ask;
+use postbarrow_node::*;
+use postbarrow_routing::{Found, Load};
+use postbarrow_state::{Name, Target};
+use std::sync::Arc;
+
+/// One ask on its way through a node.
+pub struct AskRun {
+    pub id: u64,
+    pub keyed: bool,
+    pub goes: u32,
+    pub service: &'static str,
+    course: Option<Course>,
+    target: Option<(Arc<Target>, Arc<Load>)>,
+    passed: u64,
+}
+
+impl AskRun {
+    pub fn target_name(&self) -> Option<String> {
+        self.target.as_ref().map(|(target, _)| target.instance.to_string())
+    }
+}
+
+const SERVICES: [(&str, &str, &str); 3] = [
+    ("GET", "/stock/7", "catalogue"),
+    ("POST", "/transfers", "ledger"),
+    ("PUT", "/photos/7", "photos"),
+];
+
+impl World {
+    pub fn next_ask(&mut self) {
+        if self.quiet && self.askPauseUs == 0 {
+            return;
+        }
+        self.nextAsk += 1;
+        let id = self.nextAsk;
+        let (_, _, service) = SERVICES[self.random.below(3) as usize];
+        let keyed = self.random.chance(500);
+        self.client_sends(id, service, keyed, 0);
+        let pauseUs = self.random.below(2 * self.askPauseUs) + 1;
+        self.after(pauseUs, Event::NextAsk);
+    }
+
+    /// The platform gives clients to ready nodes; now and then it is behind.
+    fn client_sends(&mut self, id: u64, service: &'static str, keyed: bool, goes: u32) {
+        let any = self.random.chance(50);
+        let nodes: Vec<usize> =
+            (0..self.data.len()).filter(|at| any || self.is_ready(*at)).collect();
+        self.book.asked(id, service != "catalogue");
+        if nodes.is_empty() {
+            return self.book.told(id, Told::Unreached, self.nowUs);
+        }
+        let data = nodes[self.random.below(nodes.len() as u64) as usize];
+        let ask = self.asks.len() as u64;
+        let run = AskRun { id, keyed, goes, service, course: None, target: None, passed: 0 };
+        self.asks.insert(ask, run);
+        let life = self.data[data].life;
+        self.after(500, Event::Arrive { ask, data, life });
+    }
+
+    pub fn ask_arrives(&mut self, ask: u64, data: usize, life: u64) {
+        let Some(run) = self.asks.get(&ask) else { return };
+        let (id, service, keyed) = (run.id, run.service, run.keyed);
+        if self.data[data].life != life {
+            return self.book.told(id, Told::Unreached, self.nowUs);
+        }
+        let oneTime = service != "catalogue";
+        let about = About { oneTime, keyed, proved: false };
+        if !self.serves(data) {
+            return self.end_ask(ask, Verdict { told: postbarrow_node::Told::Unready, about });
+        }
+        let table = self.data[data].table.clone();
+        let (method, path, _) =
+            *SERVICES.iter().find(|row| row.2 == service).unwrap_or(&SERVICES[0]);
+        let Found::Route(entry) = table.find(method, path, &[]) else {
+            return self.end_ask(ask, Verdict { told: postbarrow_node::Told::NoRoute, about });
+        };
+        let startMs = self.local_ms(Who::Data(data));
+        let seed = self.random.next();
+        let machine = &mut self.data[data];
+        machine.number += 1;
+        let key = match keyed {
+            true => format!("key-{id}"),
+            false => format!("{}:{}", machine.incarnation, machine.number),
+        };
+        let go = Go {
+            key: Name::from(key),
+            keyed,
+            digest: [id as u8; 32],
+            node: machine.incarnation,
+            zone: machine.zone.clone(),
+            startMs,
+            seed,
+        };
+        if let Some(run) = self.asks.get_mut(&ask) {
+            run.course = Some(Course::new(go, entry));
+        }
+        self.go_on(ask, data, postbarrow_node::Event::Start);
+    }
+
+    pub fn go_on(&mut self, ask: u64, data: usize, event: postbarrow_node::Event) {
+        let nowMs = self.local_ms(Who::Data(data));
+        let serves = self.serves(data);
+        self.data[data].number += 1;
+        let number = self.data[data].number;
+        let table = self.data[data].table.clone();
+        let Some(run) = self.asks.get_mut(&ask) else { return };
+        let Some(course) = &mut run.course else { return };
+        let now = Now { nowMs, table: &table, serves, number };
+        match course.handle(&now, event) {
+            Step::Connect { target, load } => {
+                run.target = Some((target.clone(), load));
+                self.connect(ask, data, &target);
+            }
+            Step::AskTicket { ticket, waitMs } => {
+                self.ask_controller(data, Ask::Ticket(ticket), waitMs, Waits::Ask(ask))
+            }
+            Step::Settle { ticket, settlement, response, waitMs } => {
+                let settle = Ask::Settle { ticket, settlement, response };
+                self.ask_controller(data, settle, waitMs, Waits::Ask(ask));
+            }
+            Step::Pass { .. } => self.pass(ask, data),
+            Step::Done { verdict, settle } => {
+                if let Some((ticket, settlement, response)) = settle {
+                    let settle = Ask::Settle { ticket, settlement, response };
+                    self.ask_controller(data, settle, SETTLE_WAIT_MS, Waits::Nobody);
+                }
+                self.end_ask(ask, verdict);
+            }
+        }
+    }
+
+    /// The connection's other end says who it is before anything is sent.
+    fn connect(&mut self, ask: u64, data: usize, target: &Target) {
+        let life = self.data[data].life;
+        let (tookUs, event) = match self.target_at(target.address) {
+            None => (600, postbarrow_node::Event::Unconnected("refused".into())),
+            Some(found) if found.frozen => {
+                (800_000, postbarrow_node::Event::Unconnected("no proof in time".into()))
+            }
+            Some(found) if found.instance != target.instance.as_str() => {
+                (1_200, postbarrow_node::Event::Unconnected("another target".into()))
+            }
+            Some(_) => (1_200, postbarrow_node::Event::Connected),
+        };
+        self.after(tookUs, Event::Go { ask, data, life, event });
+    }
+
+    fn pass(&mut self, ask: u64, data: usize) {
+        self.check_pass(ask, data);
+        let life = self.data[data].life;
+        let Some(run) = self.asks.get_mut(&ask) else { return };
+        run.passed += 1;
+        let Some((target, load)) = run.target.clone() else { return };
+        load.enter();
+        let instance = target.instance.to_string();
+        let delayUs = self.random.between(200, 900);
+        self.after(delayUs, Event::Run { ask, data, life, instance });
+    }
+
+    /// The bytes reach the target, or the connection has broken under way: then nobody can say.
+    pub fn run(&mut self, ask: u64, data: usize, life: u64, instance: &str) {
+        let Some(run) = self.asks.get(&ask) else { return };
+        let (id, service) = (run.id, run.service);
+        if let Some((_, load)) = &run.target {
+            load.leave();
+        }
+        let lost = self.random.below(1_000);
+        let target = self.targets.iter().find(|target| target.instance == instance);
+        let Some((alive, frozen, lossy, kind)) = target.map(|target| {
+            (target.alive, target.frozen, target.lostPerMille, target.service.clone())
+        }) else {
+            return;
+        };
+        let failed = |late, why: &str| Passed::Unknown { late, why: why.into() };
+        let (tookUs, passed) = if !alive {
+            (300, failed(false, "broken"))
+        } else if frozen {
+            self.book.ran(id, instance, &kind, service, self.nowUs);
+            (4_000_000, failed(true, "late"))
+        } else {
+            self.book.ran(id, instance, &kind, service, self.nowUs);
+            let tookUs = self.random.between(1_000, 6_000);
+            if lost < lossy {
+                (tookUs, failed(false, "the response is lost"))
+            } else {
+                let headers = vec![("x-id".to_string(), id.to_string())];
+                (tookUs, Passed::Whole(TargetResponse { status: 200, headers, body: vec![1] }))
+            }
+        };
+        let event = postbarrow_node::Event::Passed(passed);
+        self.after(tookUs, Event::Go { ask, data, life, event });
+    }
+
+    fn end_ask(&mut self, ask: u64, verdict: Verdict) {
+        let Some(run) = self.asks.get_mut(&ask) else { return };
+        run.course = None;
+        let (id, keyed, goes, service) = (run.id, run.keyed, run.goes, run.service);
+        let response = verdict.into_response();
+        let header = |name: &str| {
+            let found = response.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+            found.map(|(_, value)| value.clone())
+        };
+        let told = match header(OUTCOME).as_deref() {
+            Some("ran") if response.status == 200 => Told::Ran,
+            Some("not-run") => Told::NotRun,
+            Some("pending") => Told::Pending,
+            _ => Told::Unknown,
+        };
+        if told == Told::Ran && header("x-id") != Some(id.to_string()) {
+            self.book.violate(format!("ask {id} was given another's response"));
+        }
+        self.book.told(id, told, self.nowUs);
+        let again = matches!(told, Told::Unknown | Told::Pending);
+        if keyed && again && goes < 3 {
+            self.client_sends(id, service, true, goes + 1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/book.rs
@@ -0,0 +1,95 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    Ran,
+    NotRun,
+    Unknown,
+    Pending,
+    Unreached,
+}
+
+#[derive(Default)]
+struct Page {
+    oneTime: bool,
+    told: Vec<Told>,
+    runs: Vec<String>,
+}
+
+/// What clients were told and what targets ran, compared at every entry.
+#[derive(Default)]
+pub struct Book {
+    pages: BTreeMap<u64, Page>,
+    pub violations: Vec<String>,
+    pub passes: u64,
+    pub ranUs: Vec<u64>,
+    /// Plans acknowledged: when, and the offset at which they began.
+    pub inForce: Vec<(u64, u64)>,
+    pub refused: BTreeSet<String>,
+    pub acknowledged: BTreeMap<Option<String>, String>,
+    pub committed: BTreeMap<u64, u64>,
+    pub longestLeaveUs: u64,
+}
+
+impl Book {
+    pub fn violate(&mut self, text: String) {
+        if self.violations.len() < 50 {
+            self.violations.push(text);
+        }
+    }
+
+    pub fn asked(&mut self, id: u64, oneTime: bool) {
+        self.pages.entry(id).or_default().oneTime = oneTime;
+    }
+
+    pub fn ran(&mut self, id: u64, instance: &str, kind: &str, service: &str, nowUs: u64) {
+        let mut found = Vec::new();
+        if kind != service {
+            found.push(format!("{instance} got ask {id} of {service}"));
+        }
+        match self.pages.get_mut(&id) {
+            None => found.push(format!("{instance} ran ask {id}, which nobody sent")),
+            Some(page) => {
+                page.runs.push(instance.to_string());
+                if page.oneTime && page.runs.len() > 1 {
+                    found.push(format!("ask {id} ran at {}", page.runs.join(" and ")));
+                }
+                if page.oneTime && page.told.last() == Some(&Told::NotRun) {
+                    found.push(format!("ask {id} ran after it was told not run"));
+                }
+            }
+        }
+        found.into_iter().for_each(|text| self.violate(text));
+        self.ranUs.push(nowUs);
+    }
+
+    pub fn told(&mut self, id: u64, told: Told, _nowUs: u64) {
+        let Some(page) = self.pages.get_mut(&id) else { return };
+        page.told.push(told);
+        let ran = !page.runs.is_empty();
+        if told == Told::NotRun && page.oneTime && ran {
+            self.violate(format!("ask {id} was told not run, but it ran"));
+        } else if told == Told::Ran && !ran {
+            self.violate(format!("ask {id} was told a success no target gave"));
+        }
+    }
+
+    pub fn count(&self, told: Told) -> usize {
+        self.pages.values().filter(|page| page.told.last() == Some(&told)).count()
+    }
+
+    pub fn asks(&self) -> usize {
+        self.pages.len()
+    }
+
+    /// Lookups that targets ran, and how many of those runs were extra.
+    pub fn extra(&self) -> (usize, usize) {
+        let lookups = self.pages.values().filter(|page| !page.oneTime);
+        lookups.fold((0, 0), |(asked, extra), page| {
+            (
+                asked + page.told.len().max(1),
+                extra + page.runs.len().saturating_sub(page.told.len().max(1)),
+            )
+        })
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/check.rs
@@ -0,0 +1,69 @@
+use crate::world::{Who, World};
+use postbarrow_consensus::Payload;
+
+const HOLD_US: u64 = 1_005_000;
+
+impl World {
+    /// At most one controller's hold at any moment, and one history for all.
+    pub fn check_control(&mut self, at: usize) {
+        let holding: Vec<usize> = (0..self.control.len())
+            .filter(|at| {
+                let nowMs = self.local_ms(Who::Control(*at));
+                self.control[*at].node.as_ref().is_some_and(|node| node.holds(nowMs))
+            })
+            .collect();
+        if holding.len() > 1 {
+            self.book.violate(format!("control {holding:?} hold at once"));
+        }
+        let Some(node) = &self.control[at].node else { return };
+        let log = node.consensus().log();
+        let commit = node.consensus().commit();
+        let from = commit.saturating_sub(16).max(log.base() + 1);
+        let mut found = Vec::new();
+        for index in from..=commit {
+            let Some(entry) = log.get(index) else { continue };
+            let mut sum = entry.term.wrapping_mul(0x9e37_79b9);
+            if let Payload::Batch(bytes) = &entry.payload {
+                for byte in bytes {
+                    sum = sum.rotate_left(7) ^ u64::from(*byte);
+                }
+            }
+            if *self.book.committed.entry(index).or_insert(sum) != sum {
+                found.push(format!("control {at} has another entry {index} committed"));
+            }
+        }
+        found.into_iter().for_each(|text| self.book.violate(text));
+    }
+
+    pub fn check_published(&mut self, at: usize) {
+        let version = self.data[at].table.state.plan_version().map(str::to_string);
+        if let Some(version) = version
+            && self.book.refused.contains(&version)
+        {
+            self.book.violate(format!("data-{at} serves {version}, which was refused"));
+        }
+    }
+
+    /// Whenever a node passes an ask on: no older plan, no leaving target.
+    pub fn check_pass(&mut self, ask: u64, at: usize) {
+        self.book.passes += 1;
+        let began = self.data[at].table.state.plan.as_ref().map_or(0, |plan| plan.offset);
+        let nowUs = self.nowUs;
+        let due = self.book.inForce.iter().filter(|(atUs, _)| atUs + HOLD_US <= nowUs);
+        if let Some(newest) = due.map(|(_, offset)| *offset).max()
+            && began < newest
+        {
+            self.book.violate(format!("data-{at} passed ask {ask} by an older plan"));
+        }
+        let Some(target) = self.target_of(ask) else { return };
+        if let Some(leftUs) = self.list.left.get(&target) {
+            let lateUs = nowUs.saturating_sub(*leftUs);
+            self.book.longestLeaveUs = self.book.longestLeaveUs.max(lateUs);
+            if lateUs > 2_500_000 {
+                let text =
+                    format!("{target} got an ask {lateUs} us after the list showed it leave");
+                self.book.violate(text);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/control.rs
@@ -0,0 +1,115 @@
+use crate::disk::SimDisk;
+use crate::world::{Event, Who, World};
+use postbarrow_consensus::{Member, Recovered, Write};
+use postbarrow_controller::{ControlNode, Effect, Input};
+use postbarrow_storage::{Opened, Storage, open};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+/// One control machine: its disk stays, its process comes and goes.
+pub struct ControlMachine {
+    pub address: SocketAddr,
+    pub disk: SimDisk,
+    pub life: u64,
+    pub offsetMs: u64,
+    pub node: Option<ControlNode>,
+    storage: Option<Storage<SimDisk>>,
+    writes: VecDeque<(u64, Write)>,
+    syncing: bool,
+}
+
+impl ControlMachine {
+    pub fn new(address: SocketAddr, offsetMs: u64) -> Self {
+        ControlMachine {
+            address,
+            disk: SimDisk::default(),
+            life: 0,
+            offsetMs,
+            node: None,
+            storage: None,
+            writes: VecDeque::new(),
+            syncing: false,
+        }
+    }
+}
+
+impl World {
+    pub fn start_control(&mut self, at: usize) {
+        let seed = self.random.next();
+        let id = self.random.next().max(1);
+        let nowMs = self.local_ms(Who::Control(at));
+        let seeds = self.seeds.clone();
+        let machine = &mut self.control[at];
+        let opened = open(machine.disk.clone()).expect("the simulated disk opens");
+        let (storage, recovered) = match opened {
+            Opened::Whole { storage, recovered } => (storage, recovered),
+            Opened::Empty(disk) | Opened::Damaged { disk, .. } => {
+                let made = Storage::create(disk, id).expect("an empty disk takes a slot");
+                (made, Recovered::default())
+            }
+        };
+        let own = Member { id: storage.id(), address: machine.address };
+        machine.life += 1;
+        machine.storage = Some(storage);
+        machine.writes.clear();
+        machine.syncing = false;
+        machine.node = Some(ControlNode::new(own, recovered, &seeds, seed, nowMs));
+        let life = machine.life;
+        self.after(0, Event::Pulse { who: Who::Control(at), life });
+    }
+
+    /// Ends the process; with `power`, what was not synced goes too, perhaps amid a write.
+    pub fn end_control(&mut self, at: usize, power: bool) {
+        let fuse = self.random.below(4);
+        let machine = &mut self.control[at];
+        machine.node = None;
+        machine.life += 1;
+        if let Some(mut storage) = machine.storage.take()
+            && power
+            && !machine.writes.is_empty()
+        {
+            machine.disk.set_fuse(fuse);
+            let writes = machine.writes.drain(..).map(|(_, write)| write).collect();
+            let _torn = storage.apply(writes);
+        }
+        if power {
+            machine.disk.lose_power(&mut self.random);
+        }
+    }
+
+    pub fn control_input(&mut self, at: usize, input: Input) {
+        let nowMs = self.local_ms(Who::Control(at));
+        let machine = &mut self.control[at];
+        let Some(node) = &mut machine.node else { return };
+        let effects = node.handle(nowMs, input);
+        let (from, life) = (machine.address, machine.life);
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => self.transmit(from, to, message),
+                Effect::Write { sequence, write } => {
+                    let machine = &mut self.control[at];
+                    machine.writes.push_back((sequence, write));
+                    if !machine.syncing {
+                        machine.syncing = true;
+                        let tookUs = self.random.between(300, 4_000);
+                        self.after(tookUs, Event::Synced { at, life });
+                    }
+                }
+                Effect::Fetch { walk, cursor } => self.fetch(at, walk, cursor),
+                Effect::Say(text) => self.say(Who::Control(at), &text),
+            }
+        }
+        self.check_control(at);
+    }
+
+    /// All that waited shares this sync.
+    pub fn disk_done(&mut self, at: usize) {
+        let machine = &mut self.control[at];
+        machine.syncing = false;
+        let Some(last) = machine.writes.back().map(|(sequence, _)| *sequence) else { return };
+        let writes: Vec<Write> = machine.writes.drain(..).map(|(_, write)| write).collect();
+        let Some(storage) = &mut machine.storage else { return };
+        storage.apply(writes).expect("the simulated disk writes");
+        self.control_input(at, Input::Synced(last));
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/data.rs
@@ -0,0 +1,157 @@
+use crate::world::{Event, Who, World, address};
+use postbarrow_node::{DataNode, Effect, Input};
+use postbarrow_routing::Table;
+use postbarrow_state::{Name, Node};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+#[derive(Clone, Copy, Debug)]
+pub enum Waits {
+    Ask(u64),
+    Caller { caller: usize, number: u64 },
+    Nobody,
+}
+
+/// One data machine: nothing outlives its process.
+pub struct DataMachine {
+    pub address: SocketAddr,
+    pub zone: Name,
+    pub life: u64,
+    pub offsetMs: u64,
+    pub node: Option<DataNode>,
+    pub table: Arc<Table>,
+    pub holdUntilMs: u64,
+    pub incarnation: u64,
+    pub number: u64,
+    pub waits: BTreeMap<u64, Waits>,
+    at: usize,
+}
+
+impl DataMachine {
+    pub fn new(at: usize, offsetMs: u64) -> Self {
+        DataMachine {
+            address: address(2, at, 1),
+            zone: Name::from(["a", "b", "c"][at % 3]),
+            life: 0,
+            offsetMs,
+            node: None,
+            table: Arc::new(Table::empty()),
+            holdUntilMs: 0,
+            incarnation: 0,
+            number: 0,
+            waits: BTreeMap::new(),
+            at,
+        }
+    }
+}
+
+impl World {
+    pub fn start_data(&mut self, at: usize) {
+        let incarnation = self.random.next();
+        let nowMs = self.local_ms(Who::Data(at));
+        let mut seeds = self.seeds.clone();
+        if at > 0 {
+            seeds[2] = self.data[0].address;
+        }
+        let machine = &mut self.data[at];
+        machine.life += 1;
+        machine.incarnation = incarnation;
+        machine.table = Arc::new(Table::empty());
+        machine.holdUntilMs = 0;
+        machine.waits.clear();
+        let own = Node {
+            incarnation,
+            name: Name::from(format!("data-{}", machine.at)),
+            address: machine.address,
+            http: machine.address,
+            zone: machine.zone.clone(),
+        };
+        machine.node = Some(DataNode::new(own, seeds, nowMs));
+        let life = machine.life;
+        self.after(0, Event::Pulse { who: Who::Data(at), life });
+        self.after(200_000, Event::Probe { data: at, life });
+    }
+
+    pub fn end_data(&mut self, at: usize) {
+        let machine = &mut self.data[at];
+        machine.node = None;
+        machine.life += 1;
+        machine.waits.clear();
+    }
+
+    pub fn serves(&self, at: usize) -> bool {
+        let machine = &self.data[at];
+        machine.node.is_some() && self.local_ms(Who::Data(at)) < machine.holdUntilMs
+    }
+
+    pub fn is_ready(&self, at: usize) -> bool {
+        let nowMs = self.local_ms(Who::Data(at));
+        self.data[at].node.as_ref().is_some_and(|node| node.is_ready(nowMs))
+    }
+
+    pub fn data_input(&mut self, at: usize, input: Input) {
+        let nowMs = self.local_ms(Who::Data(at));
+        let machine = &mut self.data[at];
+        let Some(node) = &mut machine.node else { return };
+        let effects = node.handle(nowMs, input);
+        let from = machine.address;
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => self.transmit(from, to, message),
+                Effect::Publish { state, offset } => {
+                    let machine = &mut self.data[at];
+                    let older = offset < machine.table.offset;
+                    machine.table = Arc::new(Table::new(state, offset, &machine.table));
+                    if older {
+                        self.book.violate(format!("data-{at} fell back to an older image"));
+                    }
+                    self.check_published(at);
+                }
+                Effect::Hold { untilMs } => self.data[at].holdUntilMs = untilMs,
+                Effect::Say(text) => self.say(Who::Data(at), &text),
+                Effect::Answer { key, response } => {
+                    match self.data[at].waits.remove(&key).unwrap_or(Waits::Nobody) {
+                        Waits::Ask(ask) => {
+                            let event = postbarrow_node::Event::Answered(response);
+                            self.go_on(ask, at, event);
+                        }
+                        Waits::Caller { caller, number } => {
+                            self.caller_hears(caller, number, response)
+                        }
+                        Waits::Nobody => {}
+                    }
+                }
+            }
+        }
+    }
+
+    pub fn ask_controller(
+        &mut self,
+        at: usize,
+        ask: postbarrow_messages::Ask,
+        waitMs: u64,
+        waits: Waits,
+    ) {
+        let machine = &mut self.data[at];
+        machine.number += 1;
+        let key = machine.number;
+        machine.waits.insert(key, waits);
+        self.data_input(at, Input::Ask { key, ask, waitMs });
+    }
+
+    pub fn probe(&mut self, at: usize, life: u64) {
+        if self.data[at].life != life || self.data[at].node.is_none() {
+            return;
+        }
+        let table = self.data[at].table.clone();
+        for (instance, target) in &table.state.targets {
+            let sound = self
+                .target_at(target.address)
+                .is_some_and(|found| !found.frozen && found.instance == instance.as_str());
+            let instance = instance.clone();
+            self.data_input(at, Input::Probed { instance, sound });
+        }
+        self.after(500_000, Event::Probe { data: at, life });
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/faults.rs
@@ -0,0 +1,230 @@
+use crate::world::{Event, Who, World};
+use postbarrow_constants::consensus::VOTERS;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    KillControl,
+    PowerLoss,
+    PowerLossOfAll,
+    KillAllControl,
+    EmptyDisk,
+    EmptyDiskElsewhere,
+    FreezeControl,
+    CutControl,
+    SplitCore,
+    OneWayCut,
+    KillData,
+    KillManyData,
+    FreezeData,
+    CutData,
+    SlowLinks,
+    LossyLinks,
+    KillTarget,
+    FreezeTarget,
+    DrainTarget,
+    PassAddress,
+    Heal,
+}
+
+pub const ALL: [Fault; 20] = [
+    Fault::KillControl,
+    Fault::PowerLoss,
+    Fault::PowerLossOfAll,
+    Fault::KillAllControl,
+    Fault::EmptyDisk,
+    Fault::EmptyDiskElsewhere,
+    Fault::FreezeControl,
+    Fault::CutControl,
+    Fault::SplitCore,
+    Fault::OneWayCut,
+    Fault::KillData,
+    Fault::KillManyData,
+    Fault::FreezeData,
+    Fault::CutData,
+    Fault::SlowLinks,
+    Fault::LossyLinks,
+    Fault::KillTarget,
+    Fault::FreezeTarget,
+    Fault::DrainTarget,
+    Fault::PassAddress,
+];
+
+impl World {
+    pub fn bring(&mut self, fault: Fault) {
+        let say = format!("{:.3} fault {fault:?}", self.nowUs as f64 / 1e6);
+        if let Some(log) = &mut self.log {
+            log.push(say);
+        }
+        let leader = self
+            .control
+            .iter()
+            .position(|machine| machine.node.as_ref().is_some_and(|node| node.is_leading()));
+        let some = self.random.below(3) as usize;
+        let control = if self.random.chance(600) { leader.unwrap_or(some) } else { some };
+        let data = self.random.below(self.data.len() as u64) as usize;
+        match fault {
+            Fault::KillControl => self.end_control(control, false),
+            Fault::PowerLoss => self.end_control(control, true),
+            Fault::PowerLossOfAll => (0..3).for_each(|at| self.end_control(at, true)),
+            Fault::KillAllControl => (0..3).for_each(|at| self.end_control(at, false)),
+            Fault::EmptyDisk => self.empty_disk(control, false),
+            Fault::EmptyDiskElsewhere => self.empty_disk(control, true),
+            Fault::FreezeControl => self.freeze(Who::Control(control)),
+            Fault::CutControl => self.isolate(control),
+            Fault::SplitCore => {
+                let (one, other) =
+                    (self.control[some].address, self.control[(some + 1) % 3].address);
+                self.net.cut(one.ip(), other.ip());
+                self.net.cut(other.ip(), one.ip());
+            }
+            Fault::OneWayCut => {
+                let (one, other) =
+                    (self.control[some].address, self.control[(some + 1) % 3].address);
+                self.net.cut(one.ip(), other.ip());
+            }
+            Fault::KillData => self.end_data(data),
+            Fault::KillManyData => (0..self.data.len() / 2).for_each(|at| self.end_data(at)),
+            Fault::FreezeData => self.freeze(Who::Data(data)),
+            Fault::CutData => {
+                let cut = self.data[data].address.ip();
+                for other in self.addresses() {
+                    self.net.cut(cut, other);
+                    self.net.cut(other, cut);
+                }
+            }
+            Fault::SlowLinks => self.net.slowUs = 30_000,
+            Fault::LossyLinks => self.net.lossPerMille = 100,
+            Fault::KillTarget => self.target_goes(|target| target.alive = false),
+            Fault::FreezeTarget => self.target_goes(|target| target.frozen = true),
+            Fault::DrainTarget => self.drain(),
+            Fault::PassAddress => self.pass_address(),
+            Fault::Heal => self.heal(),
+        }
+    }
+
+    fn addresses(&self) -> Vec<std::net::IpAddr> {
+        let control = self.control.iter().map(|machine| machine.address.ip());
+        control.chain(self.data.iter().map(|machine| machine.address.ip())).collect()
+    }
+
+    fn freeze(&mut self, who: Who) {
+        self.frozen.entry(who).or_default();
+        let forUs = self.random.between(200_000, 6_000_000);
+        self.after(forUs, Event::Wake(who));
+    }
+
+    fn isolate(&mut self, at: usize) {
+        let cut = self.control[at].address.ip();
+        for other in self.addresses() {
+            self.net.cut(cut, other);
+            self.net.cut(other, cut);
+        }
+    }
+
+    /// A disk is lost only while the log can spare it: the others are whole members.
+    fn empty_disk(&mut self, at: usize, elsewhere: bool) {
+        if !self.can_spare(at) {
+            return;
+        }
+        self.end_control(at, true);
+        self.control[at].disk.wipe();
+        if elsewhere {
+            let number = 20 + self.random.below(200) as usize;
+            self.control[at].address = crate::world::address(1, number, 1);
+        }
+        self.start_control(at);
+    }
+
+    fn can_spare(&self, at: usize) -> bool {
+        let whole = |other: &usize| {
+            let machine = &self.control[*other];
+            let Some(node) = &machine.node else { return false };
+            let own = node.consensus().id();
+            let members = node.consensus().members();
+            members.len() == VOTERS
+                && members.iter().any(|member| member.id == own)
+                && !self.frozen.contains_key(&Who::Control(*other))
+        };
+        let others: Vec<usize> = (0..3).filter(|other| *other != at).collect();
+        let ids = |other: &usize| {
+            let node = self.control[*other].node.as_ref()?;
+            let mut ids: Vec<u64> =
+                node.consensus().members().iter().map(|member| member.id).collect();
+            ids.sort_unstable();
+            Some(ids)
+        };
+        others.iter().all(whole) && ids(&others[0]) == ids(&others[1])
+    }
+
+    fn target_goes(&mut self, how: impl Fn(&mut crate::targets::Target)) {
+        let Some(instance) = self.some_target() else { return };
+        if let Some(target) = self.target_mut(&instance) {
+            how(target);
+        }
+    }
+
+    fn some_target(&mut self) -> Option<String> {
+        let sound: Vec<String> = self
+            .targets
+            .iter()
+            .filter(|target| target.alive && !target.frozen)
+            .filter(|target| self.list.rows.get(&target.instance).is_some_and(|row| !row.draining))
+            .map(|target| target.instance.clone())
+            .collect();
+        let drawn = self.random.below(sound.len() as u64) as usize;
+        sound.get(drawn).filter(|_| sound.len() > 4).cloned()
+    }
+
+    fn drain(&mut self) {
+        let Some(instance) = self.some_target() else { return };
+        self.shows_leaving(&instance);
+        if let Some(row) = self.list.rows.get_mut(&instance) {
+            row.draining = true;
+        }
+        let service = instance.split('-').next().unwrap_or_default().to_string();
+        self.add_target(&service, None);
+    }
+
+    /// A ledger is retired and a photo store takes its address before the list knows.
+    fn pass_address(&mut self) {
+        let found =
+            self.targets.iter().position(|target| target.alive && target.service == "ledger");
+        let Some(at) = found else { return };
+        self.targets[at].alive = false;
+        let (instance, address) = (self.targets[at].instance.clone(), self.targets[at].address);
+        let stranger = self.add_target("photos", Some(address));
+        self.list.rows.remove(&stranger);
+        self.add_target("ledger", None);
+        let _still_listed = instance;
+    }
+
+    /// All that was brought about ends: processes run, links carry, lists are true.
+    pub fn heal(&mut self) {
+        self.net.heal();
+        let frozen: Vec<Who> = self.frozen.keys().copied().collect();
+        frozen.into_iter().for_each(|who| self.wake(who));
+        for at in 0..3 {
+            if self.control[at].node.is_none() {
+                self.start_control(at);
+            }
+        }
+        for at in 0..self.data.len() {
+            if self.data[at].node.is_none() {
+                self.start_data(at);
+            }
+        }
+        let gone: Vec<String> = self
+            .targets
+            .iter()
+            .filter(|target| !target.alive || target.frozen)
+            .map(|target| target.instance.clone())
+            .collect();
+        for instance in gone {
+            if self.list.rows.remove(&instance).is_some() {
+                self.shows_leaving(&instance);
+                let service = instance.split('-').next().unwrap_or_default().to_string();
+                self.add_target(&service, None);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/history.rs
@@ -0,0 +1,59 @@
+use crate::world::World;
+use postbarrow_state::{Call, Outcome};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Numbers and revisions only rise, reads are not older than acknowledged writes, watches have no
+/// gap and no repeat.
+pub fn check_calls(world: &mut World) {
+    let mut highest: BTreeMap<String, Vec<(u64, u64, u64, bool)>> = BTreeMap::new();
+    let mut puts = Vec::new();
+    for done in &world.callers.done {
+        let row = match (&done.call, &done.outcome) {
+            (Call::Next { name, .. }, Outcome::Number(value)) => {
+                Some((format!("number {name}"), *value, true))
+            }
+            (Call::ReadNumber { name }, Outcome::Number(value)) => {
+                Some((format!("number {name}"), *value, false))
+            }
+            (Call::Put { name, .. }, Outcome::Key(key)) => {
+                puts.push(key.revision);
+                Some((format!("key {name}"), key.revision, true))
+            }
+            (Call::ReadKey { name }, Outcome::Key(key)) => {
+                Some((format!("key {name}"), key.revision, false))
+            }
+            (Call::ReadKey { name }, Outcome::NoKey) => Some((format!("key {name}"), 0, false)),
+            _ => None,
+        };
+        if let Some((name, value, write)) = row {
+            highest.entry(name).or_default().push((done.startUs, done.endUs, value, write));
+        }
+    }
+    let mut found = Vec::new();
+    for (name, rows) in &highest {
+        for (startUs, _, value, write) in rows {
+            let before = rows.iter().filter(|(_, endUs, _, _)| endUs < startUs);
+            let most = before.map(|(_, _, value, _)| *value).max().unwrap_or(0);
+            if *value < most || (*write && *value == most && most > 0) {
+                found.push(format!("{name}: {value} after {most} was told"));
+            }
+        }
+        let writes: Vec<u64> = rows.iter().filter(|row| row.3).map(|row| row.2).collect();
+        if writes.iter().collect::<BTreeSet<_>>().len() != writes.len() {
+            found.push(format!("{name}: two writes made the same"));
+        }
+    }
+    let told = &world.callers.told;
+    if told.windows(2).any(|pair| pair[0] >= pair[1]) {
+        found.push("a watch was told twice or out of order".into());
+    }
+    let from = world.callers.watchFrom.unwrap_or(u64::MAX);
+    let last = told.last().copied().unwrap_or(0);
+    let seen: BTreeSet<u64> = told.iter().copied().collect();
+    for put in puts.into_iter().filter(|put| *put > from && *put <= last) {
+        if !seen.contains(&put) && world.callers.tooOld == 0 {
+            found.push(format!("a watch was never told of revision {put}"));
+        }
+    }
+    found.into_iter().for_each(|text| world.book.violate(text));
+}
--- /dev/null
+++ b/crates/simulation/src/operator.rs
@@ -0,0 +1,187 @@
+use crate::world::{Event, World};
+use postbarrow_desk::{Desk, Effect};
+use postbarrow_messages::{Ask, Envelope, Message, Response, Submission};
+use postbarrow_plan::Plan;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+#[derive(Clone)]
+struct Handed {
+    version: String,
+    base: Option<String>,
+    text: String,
+    dry: bool,
+}
+
+/// Operators who hand over plans, sometimes two at once on one base.
+pub struct Operator {
+    pub address: SocketAddr,
+    pub version: Option<String>,
+    pub acknowledged: u64,
+    pub refusals: u64,
+    pub shown: Option<String>,
+    /// Plans of which nobody knows yet whether they are in force.
+    pub unsure: BTreeMap<String, String>,
+    pub texts: BTreeMap<String, String>,
+    desk: Desk,
+    handed: BTreeMap<u64, Handed>,
+    key: u64,
+    number: u64,
+}
+
+const WAIT_MS: u64 = 3_000;
+
+impl Operator {
+    pub fn new(address: SocketAddr) -> Self {
+        Operator {
+            address,
+            version: None,
+            acknowledged: 0,
+            refusals: 0,
+            shown: None,
+            unsure: BTreeMap::new(),
+            texts: BTreeMap::new(),
+            desk: Desk::default(),
+            handed: BTreeMap::new(),
+            key: 0,
+            number: 0,
+        }
+    }
+}
+
+pub fn plan_text(version: &str, base: Option<&str>, routes: u64, empty: bool) -> String {
+    let base = base.map_or("null".into(), |base| format!("\"{base}\""));
+    let more: String = (0..routes)
+        .map(|at| format!(",{{\"path\":\"/more/{at}\",\"methods\":[\"GET\"],\"kind\":\"lookup\",\"service\":\"catalogue\"}}"))
+        .collect();
+    let ledger = if empty { "nobody" } else { "ledger" };
+    format!(
+        "{{\"version\":\"{version}\",\"base\":{base},\"services\":{{\"catalogue\":{{\"labels\":{{\"service\":\"catalogue\"}}}},\"ledger\":{{\"labels\":{{\"service\":\"{ledger}\"}}}},\"photos\":{{\"labels\":{{\"service\":\"photos\"}}}}}},\"routes\":[{{\"path\":\"/stock/*\",\"methods\":[\"GET\"],\"kind\":\"lookup\",\"service\":\"catalogue\"}},{{\"path\":\"/transfers\",\"methods\":[\"POST\"],\"kind\":\"one-time\",\"service\":\"ledger\"}},{{\"path\":\"/photos/*\",\"methods\":[\"PUT\"],\"kind\":\"one-time\",\"service\":\"photos\"}}{more}]}}"
+    )
+}
+
+impl World {
+    /// Twenty times a second: looks after open questions; now and then hands over a plan.
+    pub fn operate(&mut self) {
+        let nowMs = self.nowUs / 1_000;
+        let members: Vec<SocketAddr> = self.control.iter().map(|machine| machine.address).collect();
+        self.operator.desk.learn(nowMs, None, &members);
+        let effects = self.operator.desk.pulse(nowMs);
+        self.operator_does(effects);
+        let idle = self.operator.handed.is_empty();
+        if idle && (self.operator.version.is_none() || (!self.quiet && self.random.chance(25))) {
+            match self.random.below(8) {
+                _ if self.operator.version.is_none() => self.hand_over(0, false, false),
+                0 => self.hand_over(0, true, false),
+                1 => self.hand_over(0, false, true),
+                2 => self.hand_over(1_500, false, false),
+                3 => {
+                    self.hand_over(0, false, false);
+                    self.hand_over(5, false, false);
+                }
+                _ => self.hand_over(3, false, false),
+            }
+        }
+        self.after(50_000, Event::Operate);
+    }
+
+    fn hand_over(&mut self, routes: u64, dry: bool, empty: bool) {
+        self.operator.number += 1;
+        let version = format!("v{}", self.operator.number);
+        let base = self.operator.version.clone();
+        let text = plan_text(&version, base.as_deref(), routes, empty);
+        if dry || empty {
+            self.book.refused.insert(version.clone());
+        }
+        self.operator.texts.insert(version.clone(), text.clone());
+        self.submit(Handed { version, base, text, dry });
+    }
+
+    fn submit(&mut self, handed: Handed) {
+        let plan = Plan::read(handed.text.as_bytes()).expect("the simulator's plans are sound");
+        let submission = Submission {
+            version: handed.version.as_str().into(),
+            base: handed.base.as_deref().map(Into::into),
+            records: plan.records(),
+            dryRun: handed.dry,
+            allowEmpty: self.operator.version.is_none(),
+        };
+        self.operator.key += 1;
+        let key = self.operator.key;
+        self.operator.unsure.insert(handed.version.clone(), handed.text.clone());
+        self.operator.handed.insert(key, handed);
+        self.operator_asks(key, Ask::Submit(submission));
+    }
+
+    pub fn show(&mut self) {
+        self.operator.key += 1;
+        let key = self.operator.key;
+        self.operator_asks(key, Ask::Show);
+    }
+
+    fn operator_asks(&mut self, key: u64, ask: Ask) {
+        let effects = self.operator.desk.ask(self.nowUs / 1_000, key, ask, WAIT_MS);
+        self.operator_does(effects);
+    }
+
+    pub fn operator_hears(&mut self, envelope: Envelope) {
+        if let Message::Response { key, response } = envelope.message {
+            let effects = self.operator.desk.on_response(self.nowUs / 1_000, key, response);
+            self.operator_does(effects);
+        }
+    }
+
+    fn operator_does(&mut self, effects: Vec<Effect>) {
+        let from = self.operator.address;
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => self.transmit(from, to, message),
+                Effect::Answer { response: Response::Plan { text, .. }, .. } => {
+                    self.operator.shown = String::from_utf8(text).ok();
+                }
+                Effect::Answer { key, response } => {
+                    if let Some(handed) = self.operator.handed.remove(&key) {
+                        self.plan_ended(handed, response);
+                    }
+                }
+            }
+        }
+    }
+
+    fn plan_ended(&mut self, handed: Handed, response: Response) {
+        let Response::Operator { status, body } = response else {
+            return self.submit(handed);
+        };
+        let text = String::from_utf8_lossy(&body).into_owned();
+        self.operator.unsure.remove(&handed.version);
+        match status {
+            200 if handed.dry => {}
+            200 => self.plan_acknowledged(&handed, &text),
+            503 => self.submit(handed),
+            _ => {
+                self.operator.refusals += 1;
+                self.book.refused.insert(handed.version.clone());
+                (0..self.data.len()).for_each(|at| self.check_published(at));
+                let named = text.split("\"versionInForce\":\"").nth(1);
+                let named = named.and_then(|rest| rest.split('"').next()).map(str::to_string);
+                if named.is_some() {
+                    self.operator.version = named;
+                }
+            }
+        }
+    }
+
+    fn plan_acknowledged(&mut self, handed: &Handed, text: &str) {
+        let began = text
+            .split("\"beganAt\":")
+            .nth(1)
+            .and_then(|rest| rest.split(|c: char| !c.is_ascii_digit()).next()?.parse::<u64>().ok());
+        self.operator.acknowledged += 1;
+        self.operator.version = Some(handed.version.clone());
+        self.book.inForce.push((self.nowUs, began.unwrap_or(0)));
+        let other = self.book.acknowledged.insert(handed.base.clone(), handed.version.clone());
+        if other.is_some_and(|other| other != handed.version) {
+            self.book.violate(format!("two plans were acknowledged on base {:?}", handed.base));
+        }
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/random.rs
@@ -0,0 +1,29 @@
+/// Every draw of a run comes from its seed.
+#[derive(Clone, Debug)]
+pub struct Random(u64);
+
+impl Random {
+    pub fn new(seed: u64) -> Self {
+        Random(seed.wrapping_mul(0x2545_f491_4f6c_dd1d) ^ 0x9e37_79b9_7f4a_7c15)
+    }
+
+    pub fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    pub fn below(&mut self, count: u64) -> u64 {
+        self.next() % count.max(1)
+    }
+
+    pub fn between(&mut self, least: u64, most: u64) -> u64 {
+        least + self.below(most - least + 1)
+    }
+
+    pub fn chance(&mut self, perMille: u64) -> bool {
+        self.below(1_000) < perMille
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/scenario.rs
@@ -0,0 +1,160 @@
+use crate::book::Told;
+use crate::faults::{ALL, Fault};
+use crate::history::check_calls;
+use crate::random::Random;
+use crate::world::{Event, World};
+use std::collections::BTreeSet;
+
+/// What to bring about, from one seed.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    pub seed: u64,
+    pub faults: Vec<Fault>,
+    /// How many are drawn from `faults`, each healed or overlapped by the next.
+    pub count: usize,
+    pub dataNodes: usize,
+    pub targets: usize,
+    pub log: bool,
+}
+
+#[derive(Debug, Default)]
+pub struct Ends {
+    pub ran: usize,
+    pub notRun: usize,
+    pub unknown: usize,
+}
+
+#[derive(Debug, Default)]
+pub struct Ended {
+    pub violations: Vec<String>,
+    pub recoveryMs: u64,
+    pub asks: usize,
+    pub told: Ends,
+    pub passes: u64,
+    pub plans: u64,
+    pub refusals: u64,
+    pub calls: usize,
+    pub events: usize,
+    pub extra: (usize, usize),
+    pub longestLeaveMs: u64,
+    pub digest: u64,
+    pub log: Vec<String>,
+}
+
+const RECOVERY_MS: u64 = 15_000;
+
+impl Scenario {
+    pub fn new(seed: u64, faults: &[Fault], count: usize) -> Self {
+        let faults = faults.to_vec();
+        Scenario { seed, faults, count, dataNodes: 5, targets: 12, log: false }
+    }
+
+    pub fn everything(seed: u64) -> Self {
+        Scenario::new(seed, &ALL, 6)
+    }
+
+    pub fn run(&self) -> Ended {
+        let mut world = World::new(self.seed, self.dataNodes, self.targets);
+        if self.log {
+            world.log = Some(Vec::new());
+        }
+        let mut random = Random::new(self.seed ^ 0xfa_017);
+        world.run_until(6_000_000);
+        let formed = world.is_well();
+        let mut atUs = 6_000_000;
+        for _ in 0..self.count {
+            let fault = self.faults[random.below(self.faults.len() as u64) as usize];
+            world.after(0, Event::Fault(fault));
+            atUs += random.between(300_000, 4_000_000);
+            world.run_until(atUs);
+            if random.chance(500) {
+                world.after(0, Event::Fault(Fault::Heal));
+                atUs += random.between(200_000, 2_000_000);
+                world.run_until(atUs);
+            }
+        }
+        world.quiet = true;
+        world.bring(Fault::Heal);
+        let mut outcome = Ended { recoveryMs: recover(&mut world), ..Ended::default() };
+        world.askPauseUs = 0;
+        let endUs = world.nowUs + 6_000_000;
+        world.run_until(endUs);
+        world.show();
+        world.run_until(endUs + 2_000_000);
+        if !formed {
+            outcome.violations.push("no service before any fault".into());
+        }
+        finish(&mut world, &mut outcome);
+        outcome
+    }
+}
+
+/// Full service: all nodes ready on one version, and asks of each kind run.
+fn recover(world: &mut World) -> u64 {
+    let startUs = world.nowUs;
+    let mut wellUs = None;
+    while world.nowUs < startUs + 2 * RECOVERY_MS * 1_000 {
+        let nextUs = world.nowUs + 50_000;
+        world.run_until(nextUs);
+        let ran = world.book.ranUs.last().is_some_and(|ranUs| ranUs + 500_000 > world.nowUs);
+        match (world.is_well() && ran, wellUs) {
+            (true, None) => wellUs = Some(world.nowUs),
+            (true, Some(sinceUs)) if world.nowUs > sinceUs + 1_000_000 => break,
+            (false, _) => wellUs = None,
+            _ => {}
+        }
+    }
+    wellUs.map_or(u64::MAX, |wellUs| (wellUs - startUs) / 1_000)
+}
+
+impl World {
+    pub fn is_well(&self) -> bool {
+        let versions: BTreeSet<_> =
+            self.data.iter().map(|machine| machine.table.state.plan_version()).collect();
+        (0..self.data.len()).all(|at| self.is_ready(at)) && versions.len() == 1
+    }
+
+    pub fn target_of(&self, ask: u64) -> Option<String> {
+        self.asks.get(&ask)?.target_name()
+    }
+}
+
+fn finish(world: &mut World, outcome: &mut Ended) {
+    if outcome.recoveryMs > RECOVERY_MS {
+        outcome.violations.push(format!("no full service {RECOVERY_MS} ms after the last fault"));
+    }
+    check_calls(world);
+    check_plan(world);
+    let (lookups, extra) = world.book.extra();
+    if extra as f64 > lookups as f64 / 5.0 + 3.0 * world.nowUs as f64 / 1e6 {
+        world.book.violate(format!("{extra} extra goes for {lookups} lookups"));
+    }
+    outcome.violations.append(&mut world.book.violations);
+    outcome.asks = world.book.asks();
+    outcome.told = Ends {
+        ran: world.book.count(Told::Ran),
+        notRun: world.book.count(Told::NotRun),
+        unknown: world.book.count(Told::Unknown),
+    };
+    outcome.passes = world.book.passes;
+    outcome.plans = world.operator.acknowledged;
+    outcome.refusals = world.operator.refusals;
+    outcome.calls = world.callers.done.len();
+    outcome.events = world.callers.told.len();
+    outcome.extra = (lookups, extra);
+    outcome.longestLeaveMs = world.book.longestLeaveUs / 1_000;
+    outcome.digest = world.digest;
+    outcome.log = world.log.take().unwrap_or_default();
+}
+
+fn check_plan(world: &mut World) {
+    let Some(shown) = world.operator.shown.clone() else {
+        return world.book.violate("the plan does not read back".into());
+    };
+    let last =
+        world.operator.version.as_ref().and_then(|version| world.operator.texts.get(version));
+    let unsure = world.operator.unsure.values().any(|text| *text == shown);
+    if last != Some(&shown) && !unsure {
+        world.book.violate("the plan in force is not the one last acknowledged".into());
+    }
+}
