--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -59,11 +59,11 @@
         (ask.lastTerm, ask.last) >= (self.log.last_term(), self.log.last())
     }
 
+    /// Whether it counts is for the candidate's members to say: a voter that has not heard yet that
+    /// it joined must still vote, or the others may lack a majority for ever.
     pub(crate) fn on_pre_vote(&mut self, nowMs: u64, from: Member, ask: VoteAsk) {
-        let granted = self.log.is_member(self.id)
-            && ask.term > self.term
-            && !self.bound_to_leader(nowMs)
-            && self.up_to_date(&ask);
+        let granted =
+            ask.term > self.term && !self.bound_to_leader(nowMs) && self.up_to_date(&ask);
         let term = if granted { ask.term } else { self.term };
         self.send(from, Message::PreVoteResponse { term, granted });
     }
@@ -93,7 +93,7 @@
     }
 
     pub(crate) fn on_vote(&mut self, nowMs: u64, from: Member, ask: VoteAsk) {
-        if !self.log.is_member(self.id) || self.bound_to_leader(nowMs) {
+        if self.bound_to_leader(nowMs) {
             return;
         }
         if ask.term > self.term {
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -182,6 +182,10 @@
     pub fn is_fresh(&self) -> bool {
         self.log.members().is_empty()
     }
+    /// Nothing was ever promised to anybody: only such a one may begin a log.
+    pub fn is_unbound(&self) -> bool {
+        self.is_fresh() && self.term == 0
+    }
     pub fn leader(&self) -> Option<Member> {
         let id = self.leader?;
         self.log.members().iter().find(|member| member.id == id).copied()
--- a/crates/constants/src/nodes.rs
+++ b/crates/constants/src/nodes.rs
@@ -31,6 +31,9 @@
 pub const NODE_GONE_MS: u64 = 3_000;
 /// Pause between two walks of the platform list.
 pub const LIST_PAUSE_MS: u64 = 300;
+/// A new controller grants no hold before its first whole walk, but waits no longer than this for it:
+/// a list that is out of reach must not take the service with it.
+pub const LIST_FIRST_MS: u64 = 1_500;
 /// One page may take this long.
 pub const LIST_PAGE_WAIT_MS: u64 = 2_000;
 /// Pages in one walk; a list that goes round for ever ends here.
--- a/crates/controller/src/greet.rs
+++ b/crates/controller/src/greet.rs
@@ -50,7 +50,7 @@
         }
         self.book.dueMs = nowMs + GREET_MS;
         let own = self.own;
-        let fresh = self.consensus.is_fresh();
+        let fresh = self.consensus.is_unbound();
         self.book.fresh.retain(|_, heard| nowMs < heard.atMs + HEARD_KEEP_MS);
         let mut knows: BTreeSet<MemberId> = self.book.fresh.keys().copied().collect();
         knows.insert(self.own.id);
--- a/crates/controller/src/nodes.rs
+++ b/crates/controller/src/nodes.rs
@@ -33,7 +33,7 @@
     pub(crate) fn on_fresh(&mut self, nowMs: u64, from: SocketAddr, ask: FreshAsk) {
         let members: Vec<SocketAddr> =
             self.consensus.members().iter().map(|member| member.address).collect();
-        if !self.holds(nowMs) {
+        if !self.holds(nowMs) || !self.knows_targets(nowMs) {
             let controller = self.consensus.leader().map(|leader| leader.address);
             let controller = controller.filter(|address| *address != self.own.address);
             let fresh = Fresh::NotController { controller, members };
@@ -46,6 +46,12 @@
         self.send(from, Message::FreshResponse { number, fresh });
     }
 
+    /// What the list showed while nobody led must be known before any node may serve by it.
+    fn knows_targets(&self, nowMs: u64) -> bool {
+        let Some(lead) = &self.lead else { return false };
+        lead.walk.wholeMs.is_some() || nowMs >= lead.sinceMs + LIST_FIRST_MS
+    }
+
     fn register(&mut self, nowMs: u64, ask: FreshAsk) {
         let known = self.current().and_then(|state| state.nodes.get(&ask.node.incarnation));
         let absent = known.is_none_or(|known| **known != ask.node);
