--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -62,8 +62,7 @@
     /// Whether it counts is for the candidate's members to say: a voter that has not heard yet that
     /// it joined must still vote, or the others may lack a majority for ever.
     pub(crate) fn on_pre_vote(&mut self, nowMs: u64, from: Member, ask: VoteAsk) {
-        let granted =
-            ask.term > self.term && !self.bound_to_leader(nowMs) && self.up_to_date(&ask);
+        let granted = ask.term > self.term && !self.bound_to_leader(nowMs) && self.up_to_date(&ask);
         let term = if granted { ask.term } else { self.term };
         self.send(from, Message::PreVoteResponse { term, granted });
     }
--- a/crates/controller/src/lead.rs
+++ b/crates/controller/src/lead.rs
@@ -27,7 +27,8 @@
     pub forgetDueMs: u64,
     pub conditionDueMs: u64,
     pub longestStallMs: u64,
-    pub sinceMs: u64,
+    /// Since when the hold lasts without a break.
+    pub holdSinceMs: Option<u64>,
 }
 
 impl Lead {
@@ -50,7 +51,7 @@
             forgetDueMs: 0,
             conditionDueMs: 0,
             longestStallMs: 0,
-            sinceMs: nowMs,
+            holdSinceMs: None,
         }
     }
 }
@@ -64,7 +65,6 @@
         }
         let state = self.tail.image().as_ref().clone();
         lead.ready = true;
-        lead.sinceMs = nowMs;
         lead.locksDueMs =
             state.locks.iter().map(|(name, lock)| (name.clone(), nowMs + lock.ttlMs)).collect();
         for (key, ticket) in &state.tickets {
@@ -155,6 +155,7 @@
         if !self.is_leading() {
             return;
         }
+        self.hold_pulse(nowMs);
         self.lock_pulse(nowMs, gapMs);
         self.submit_pulse(nowMs);
         self.list_pulse(nowMs);
--- a/crates/controller/src/list.rs
+++ b/crates/controller/src/list.rs
@@ -35,6 +35,12 @@
         }
     }
 
+    pub fn begin_anew(&mut self, nowMs: u64) {
+        self.restart(nowMs);
+        self.kept.clear();
+        self.wholeMs = None;
+    }
+
     /// A half walk removes nobody: what it found so far is dropped.
     fn restart(&mut self, dueMs: u64) {
         self.number += 1;
--- a/crates/controller/src/nodes.rs
+++ b/crates/controller/src/nodes.rs
@@ -46,10 +46,27 @@
         self.send(from, Message::FreshResponse { number, fresh });
     }
 
-    /// What the list showed while nobody led must be known before any node may serve by it.
+    /// What the list showed while nobody held must be known before any node may serve by it.
     fn knows_targets(&self, nowMs: u64) -> bool {
         let Some(lead) = &self.lead else { return false };
-        lead.walk.wholeMs.is_some() || nowMs >= lead.sinceMs + LIST_FIRST_MS
+        let Some(sinceMs) = lead.holdSinceMs else { return false };
+        lead.walk.wholeMs.is_some() || nowMs >= sinceMs + LIST_FIRST_MS
+    }
+
+    /// A hold that is gained, or gained again, begins with nothing known: neither what the list
+    /// showed meanwhile, nor which nodes asked in vain.
+    pub(crate) fn hold_pulse(&mut self, nowMs: u64) {
+        let holds = self.holds(nowMs);
+        let Some(lead) = &mut self.lead else { return };
+        match (holds, lead.holdSinceMs) {
+            (false, _) => lead.holdSinceMs = None,
+            (true, None) => {
+                lead.holdSinceMs = Some(nowMs);
+                lead.walk.begin_anew(nowMs);
+                lead.nodes.values_mut().for_each(|seen| seen.lastMs = nowMs);
+            }
+            (true, Some(_)) => {}
+        }
     }
 
     fn register(&mut self, nowMs: u64, ask: FreshAsk) {
