--- /dev/null
+++ b/crates/controller/tests/bench/mod.rs
@@ -0,0 +1,237 @@
+#![allow(dead_code)]
+use postbarrow_consensus::{Entry, Member, Payload, Recovered, Snapshot, Write};
+use postbarrow_controller::{ControlNode, Effect, Fetched, Input, PageResult};
+use postbarrow_messages::*;
+use postbarrow_plan::Plan;
+use postbarrow_state::{Name, Node, Record, State, Ticket};
+use postbarrow_transactions::{Line, decode};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// One control node that is its own majority; the test decides when its disk syncs.
+pub struct Bench {
+    pub node: ControlNode,
+    pub nowMs: u64,
+    pub lines: Vec<Line<Record>>,
+    pub entries: Vec<Entry>,
+    pub responses: Vec<(u64, Response)>,
+    pub sent: Vec<Message>,
+    pub fetch: Option<(u64, Option<String>)>,
+    pub pages: Vec<String>,
+    unsynced: Option<u64>,
+}
+
+pub fn client() -> SocketAddr {
+    "10.9.9.9:1".parse().unwrap()
+}
+
+pub fn member(id: u64) -> Member {
+    Member { id, address: format!("10.1.0.{id}:1").parse().unwrap() }
+}
+
+pub fn recovered(members: &[u64], entries: Vec<Entry>, term: u64) -> Recovered {
+    let members = members.iter().map(|id| member(*id)).collect();
+    let snapshot = Snapshot { index: 0, term: 0, members, state: Vec::new() };
+    Recovered { term, voted: None, snapshot: Some(Arc::new(snapshot)), entries }
+}
+
+impl Bench {
+    pub fn new(recovered: Recovered) -> Bench {
+        let nowMs = 50_000;
+        Bench {
+            node: ControlNode::new(member(1), recovered, &[], 7, nowMs),
+            nowMs,
+            lines: Vec::new(),
+            entries: Vec::new(),
+            responses: Vec::new(),
+            sent: Vec::new(),
+            fetch: None,
+            pages: Vec::new(),
+            unsynced: None,
+        }
+    }
+
+    /// Leads, with a list of one target a service and one node.
+    pub fn serving() -> Bench {
+        let mut bench = Bench::new(recovered(&[1], Vec::new(), 0));
+        bench.lead();
+        bench.list(&[("catalogue-1", "catalogue"), ("ledger-1", "ledger"), ("ledger-2", "ledger")]);
+        bench.fresh(5);
+        bench.settle();
+        bench
+    }
+
+    pub fn lead(&mut self) {
+        for _ in 0..100 {
+            self.pulse(20);
+            self.sync();
+        }
+        assert!(self.node.is_leading());
+    }
+
+    pub fn input(&mut self, input: Input) {
+        for effect in self.node.handle(self.nowMs, input) {
+            match effect {
+                Effect::Write { sequence, write } => {
+                    self.unsynced = Some(sequence);
+                    if let Write::Append(entries) = write {
+                        for entry in entries {
+                            if let Payload::Batch(bytes) = &entry.payload {
+                                self.lines.extend(decode::<Record>(bytes).unwrap());
+                            }
+                            self.entries.push(entry);
+                        }
+                    }
+                }
+                Effect::Send { message: Message::Response { key, response }, .. } => {
+                    self.responses.push((key, response))
+                }
+                Effect::Send { message, .. } => self.sent.push(message),
+                Effect::Fetch { walk, cursor } => self.fetch = Some((walk, cursor)),
+                Effect::Say(_) => {}
+            }
+        }
+    }
+
+    pub fn pulse(&mut self, passMs: u64) {
+        self.nowMs += passMs;
+        self.input(Input::Pulse);
+    }
+
+    pub fn sync(&mut self) {
+        if let Some(sequence) = self.unsynced.take() {
+            self.input(Input::Synced(sequence));
+        }
+    }
+
+    pub fn settle(&mut self) {
+        for _ in 0..400 {
+            self.pulse(1);
+            self.sync();
+        }
+    }
+
+    pub fn message(&mut self, message: Message) {
+        self.input(Input::Receive(Envelope { from: client(), message }));
+    }
+
+    pub fn ask(&mut self, key: u64, ask: Ask) {
+        self.message(Message::Ask { key, ask });
+    }
+
+    pub fn answer(&self, key: u64) -> Option<&Response> {
+        self.responses.iter().rev().find(|(known, _)| *known == key).map(|(_, answer)| answer)
+    }
+
+    pub fn status(&self, key: u64) -> Option<u16> {
+        match self.answer(key) {
+            Some(Response::Operator { status, .. }) => Some(*status),
+            _ => None,
+        }
+    }
+
+    pub fn state(&self) -> &State {
+        self.node.committed()
+    }
+
+    pub fn fresh(&mut self, incarnation: u64) {
+        let ask = FreshAsk {
+            number: self.nowMs,
+            node: node(incarnation),
+            published: 0,
+            version: None,
+            ready: false,
+            failing: Vec::new(),
+            suspects: Vec::new(),
+        };
+        self.message(Message::Fresh(ask));
+        self.sync();
+    }
+
+    pub fn granted(&mut self) -> bool {
+        self.sent.clear();
+        self.fresh(5);
+        self.sent.iter().any(|message| {
+            matches!(message, Message::FreshResponse { fresh: Fresh::Granted { .. }, .. })
+        })
+    }
+
+    pub fn row(instance: &str, service: &str, draining: bool) -> String {
+        format!(
+            "{{\"instance\":\"{instance}\",\"service\":\"{service}\",\"address\":\"10.4.0.1:80\",\"draining\":{draining}}}"
+        )
+    }
+
+    pub fn page(&mut self, fetched: Fetched) {
+        for _ in 0..200 {
+            if self.fetch.is_some() {
+                break;
+            }
+            self.pulse(20);
+        }
+        let (walk, _) = self.fetch.take().expect("a page is asked for");
+        self.input(Input::Page(PageResult { walk, fetched }));
+        self.sync();
+    }
+
+    pub fn rows(&mut self, rows: &[String], next: Option<&str>) {
+        let next = next.map_or("null".into(), |next| format!("\"{next}\""));
+        let text = format!("{{\"targets\":[{}],\"next\":{next}}}", rows.join(","));
+        self.page(Fetched::Page(text.into_bytes()));
+    }
+
+    pub fn list(&mut self, targets: &[(&str, &str)]) {
+        let rows: Vec<String> =
+            targets.iter().map(|(instance, service)| Bench::row(instance, service, false)).collect();
+        self.rows(&rows, None);
+    }
+
+    pub fn submit(&mut self, key: u64, text: &str) {
+        self.ask(key, Ask::Submit(submission(text)));
+    }
+}
+
+pub fn node(incarnation: u64) -> Node {
+    Node {
+        incarnation,
+        name: Name::from("node"),
+        address: client(),
+        http: client(),
+        zone: Name::from("a"),
+    }
+}
+
+pub fn submission(text: &str) -> Submission {
+    let plan = Plan::read(text.as_bytes()).unwrap();
+    Submission {
+        version: plan.version.as_str().into(),
+        base: plan.base.as_deref().map(Into::into),
+        records: plan.records(),
+        dryRun: false,
+        allowEmpty: false,
+    }
+}
+
+pub fn plan(version: &str, base: Option<&str>, routes: usize, service: &str) -> String {
+    let base = base.map_or("null".into(), |base| format!("\"{base}\""));
+    let rows: Vec<String> = (0..routes)
+        .map(|at| format!("{{\"path\":\"/r{at}\",\"methods\":[\"GET\"],\"kind\":\"lookup\",\"service\":\"s\"}}"))
+        .collect();
+    format!(
+        "{{\"version\":\"{version}\",\"base\":{base},\"services\":{{\"s\":{{\"labels\":{{\"service\":\"{service}\"}}}}}},\"routes\":[{}]}}",
+        rows.join(",")
+    )
+}
+
+pub fn ticket(key: &str, number: u64) -> Ticket {
+    Ticket {
+        key: Name::from(key),
+        digest: [1; 32],
+        service: Name::from("ledger"),
+        instance: Name::from("ledger-1"),
+        node: 5,
+        number,
+        settled: None,
+        response: None,
+    }
+}
--- /dev/null
+++ b/crates/controller/tests/transactions.rs
@@ -0,0 +1,171 @@
+mod bench;
+use bench::*;
+use postbarrow_consensus::{Append, Entry, Message as LogMessage, Payload};
+use postbarrow_constants::plans::TRANSACTION_OPEN_MS;
+use postbarrow_messages::*;
+use postbarrow_state::Record;
+use postbarrow_transactions::{Line, encode};
+
+fn markers(bench: &Bench) -> Vec<String> {
+    let mut told = Vec::new();
+    for line in &bench.lines {
+        match line {
+            Line::Begin { name } => told.push(format!("Begin {}", name.as_deref().unwrap_or(""))),
+            Line::End => told.push("End".into()),
+            Line::Abort { reason } => {
+                told.push(format!("Abort {}", reason.as_deref().unwrap_or("")))
+            }
+            Line::Data(_) => {}
+        }
+    }
+    told
+}
+
+#[test]
+fn a_plan_of_many_batches_is_visible_only_at_its_committed_end() {
+    let mut bench = Bench::serving();
+    bench.submit(1, &plan("v1", None, 6_000, "catalogue"));
+    let mut steps = 0;
+    while bench.answer(1).is_none() {
+        assert_eq!(bench.state().plan_version(), None, "seen before its end");
+        bench.sync();
+        steps += 1;
+    }
+    assert!(steps > 1, "one sync held it all: nothing was tested");
+    assert_eq!(bench.status(1), Some(200));
+    assert_eq!(bench.state().plan_version(), Some("v1"));
+    assert_eq!(bench.state().routes.len(), 6_000);
+    assert_eq!(bench.state().plan_text(), plan("v1", None, 6_000, "catalogue").into_bytes());
+    assert_eq!(markers(&bench), ["Begin plan v1", "End"]);
+}
+
+#[test]
+fn one_open_too_long_is_aborted_and_what_waited_goes_on() {
+    let mut bench = Bench::serving();
+    bench.submit(1, &plan("v1", None, 6_000, "catalogue"));
+    bench.ask(2, Ask::Ticket(ticket("k", 1)));
+    let before = bench.lines.len();
+    for _ in 0..TRANSACTION_OPEN_MS / 20 - 1 {
+        bench.pulse(20);
+    }
+    assert_eq!(bench.lines.len(), before, "a ticket was interleaved");
+    bench.pulse(20);
+    bench.pulse(20);
+    assert_eq!(markers(&bench), ["Begin plan v1", "Abort the transaction was open too long"]);
+    bench.sync();
+    bench.settle();
+    assert_eq!(bench.status(1), Some(503));
+    assert_eq!(bench.answer(2), Some(&Response::Granted));
+    assert_eq!(bench.state().plan_version(), None);
+    assert_eq!(bench.state().routes.len(), 0);
+    assert!((480..=560).contains(&bench.node.stall_ms()), "{}", bench.node.stall_ms());
+}
+
+#[test]
+fn a_delta_over_its_bound_is_aborted() {
+    let mut bench = Bench::serving();
+    let mut huge = submission(&plan("v1", None, 1, "catalogue"));
+    huge.records.extend((0..600).map(|_| Record::PlanText(vec![32; 16 * 1024])));
+    bench.ask(1, Ask::Submit(huge));
+    bench.settle();
+    assert_eq!(bench.status(1), Some(413));
+    assert!(markers(&bench)[1].contains("over the bound"));
+    assert_eq!(bench.state().plan_version(), None);
+    bench.submit(2, &plan("v1", None, 1, "catalogue"));
+    bench.settle();
+    assert_eq!(bench.status(2), Some(200), "the controller goes on after an abort");
+}
+
+fn half_a_plan() -> Vec<Entry> {
+    let lines = [
+        Line::begin("plan v9"),
+        Line::Data(Record::PlanStart { version: "v9".into(), base: None }),
+    ];
+    let batch = |index, lines: &[Line<Record>]| Entry {
+        term: 1,
+        index,
+        payload: Payload::Batch(encode(lines)),
+    };
+    vec![batch(1, &lines), batch(2, &[Line::Data(Record::PlanText(vec![65]))])]
+}
+
+#[test]
+fn a_new_controller_aborts_what_a_dead_one_left_open() {
+    let mut bench = Bench::new(recovered(&[1], half_a_plan(), 1));
+    bench.lead();
+    assert_eq!(markers(&bench), ["Abort the controller that began it is gone"]);
+    assert_eq!(bench.state().plan_version(), None);
+    assert!(bench.state().planText.is_empty());
+    assert!(!bench.node.tail().is_open());
+}
+
+#[test]
+fn a_deposed_controller_drops_to_its_committed_state_and_replays() {
+    let mut bench = Bench::serving();
+    bench.submit(1, &plan("v1", None, 1, "catalogue"));
+    bench.settle();
+    bench.submit(2, &plan("v2", Some("v1"), 6_000, "catalogue"));
+    bench.ask(3, Ask::Ticket(ticket("k", 1)));
+    let (commit, term) = (bench.node.consensus().commit(), bench.node.consensus().term());
+    let prevTerm = bench.node.consensus().log().term_at(commit).unwrap();
+    let record = Record::Number { name: "n".into(), value: 4 };
+    let entry = Entry {
+        term: term + 1,
+        index: commit + 1,
+        payload: Payload::Batch(encode(&[Line::Data(record)])),
+    };
+    let append = Append {
+        term: term + 1,
+        prev: commit,
+        prevTerm,
+        entries: vec![entry],
+        commit: commit + 1,
+        sentMs: 1,
+    };
+    let message = LogMessage::Append(append);
+    bench.message(Message::Consensus { from: member(2), to: 1, message });
+    assert!(!bench.node.is_leading());
+    assert_eq!(bench.answer(2), Some(&Response::Lost));
+    assert_eq!(bench.answer(3), Some(&Response::NotController { controller: None }));
+    assert_eq!(bench.state().plan_version(), Some("v1"));
+    assert_eq!(bench.state().numbers.get("n"), Some(&4), "the new term's entry is replayed");
+    assert!(!bench.node.tail().is_open(), "the tail it wrote alone is cut");
+}
+
+#[test]
+fn of_plans_on_one_base_one_is_acknowledged_and_again_means_the_same_yes() {
+    let mut bench = Bench::serving();
+    bench.submit(1, &plan("v1", None, 1, "catalogue"));
+    bench.submit(2, &plan("v2", None, 1, "catalogue"));
+    bench.settle();
+    assert_eq!((bench.status(1), bench.status(2)), (Some(200), Some(409)));
+    bench.submit(3, &plan("v1", None, 1, "catalogue"));
+    bench.submit(4, &plan("v1", None, 2, "catalogue"));
+    bench.settle();
+    assert_eq!((bench.status(3), bench.status(4)), (Some(200), Some(409)));
+    let Some(Response::Operator { body, .. }) = bench.answer(4) else { panic!("no answer") };
+    assert!(String::from_utf8_lossy(body).contains("\"versionInForce\":\"v1\""));
+    assert_eq!(bench.state().routes.len(), 1);
+}
+
+#[test]
+fn a_rehearsal_refuses_a_service_without_target_and_a_dry_run_leaves_nothing() {
+    let mut bench = Bench::serving();
+    bench.submit(1, &plan("v1", None, 1, "nobody"));
+    let mut dry = submission(&plan("v1", None, 1, "catalogue"));
+    dry.dryRun = true;
+    bench.ask(2, Ask::Submit(dry));
+    bench.settle();
+    assert_eq!((bench.status(1), bench.status(2)), (Some(422), Some(200)));
+    let Some(Response::Operator { body, .. }) = bench.answer(2) else { panic!("no answer") };
+    let told = String::from_utf8_lossy(body).into_owned();
+    assert!(told.contains("\"routesAdded\":[\"GET /r0\"]"), "{told}");
+    assert!(told.contains("\"liveBefore\":0,\"liveAfter\":1"), "{told}");
+    assert_eq!(bench.state().plan_version(), None);
+    let mut empty = submission(&plan("v1", None, 1, "nobody"));
+    empty.allowEmpty = true;
+    bench.ask(3, Ask::Submit(empty));
+    bench.settle();
+    assert_eq!(bench.status(3), Some(200));
+    assert_eq!(bench.state().plan_version(), Some("v1"));
+}
--- /dev/null
+++ b/crates/storage/tests/power.rs
@@ -0,0 +1,109 @@
+use postbarrow_consensus::{Entry, Hard, Member, Payload, Recovered, Snapshot, Write};
+use postbarrow_simulation::{Random, SimDisk};
+use postbarrow_storage::{Disk, LOGS, Opened, SLOTS, Storage, open};
+use std::sync::Arc;
+
+fn entry(term: u64, index: u64) -> Entry {
+    Entry { term, index, payload: Payload::Batch(vec![index as u8; 40]) }
+}
+
+fn reopen(disk: &SimDisk) -> (Storage<SimDisk>, Recovered) {
+    match open(disk.clone()).unwrap() {
+        Opened::Whole { storage, recovered } => (storage, recovered),
+        Opened::Empty(_) => panic!("the disk is empty"),
+        Opened::Damaged { finding, .. } => panic!("{finding}"),
+    }
+}
+
+fn slot(index: u64, term: u64, entries: Vec<Entry>) -> Write {
+    let members = vec![Member { id: 1, address: "10.0.0.1:1".parse().unwrap() }];
+    let snapshot = Arc::new(Snapshot { index, term, members, state: vec![7; 300] });
+    Write::Slot { snapshot, hard: Hard { term, voted: Some(1) }, entries }
+}
+
+#[test]
+fn whatever_was_synced_is_there_after_power_loss_at_any_operation() {
+    for seed in 0..400 {
+        let mut random = Random::new(seed);
+        let disk = SimDisk::default();
+        let mut storage = Storage::create(disk.clone(), 9).unwrap();
+        let (mut last, mut term, mut base) = (0, 1, 0);
+        let mut written = 0;
+        let steps = random.below(30);
+        for _ in 0..steps {
+            let write = match random.below(6) {
+                0 => {
+                    term += 1;
+                    Write::Hard(Hard { term, voted: Some(2) })
+                }
+                1 if last > base => {
+                    base = last - random.below(last - base);
+                    let tail = (base + 1..=last).map(|index| entry(term, index)).collect();
+                    slot(base, term, tail)
+                }
+                _ => {
+                    last += 1;
+                    Write::Append(vec![entry(term, last)])
+                }
+            };
+            if matches!(write, Write::Hard(_) | Write::Slot { .. }) {
+                written = term;
+            }
+            storage.apply(vec![write]).unwrap();
+        }
+        disk.set_fuse(random.below(5));
+        let torn = storage.apply(vec![
+            Write::Append(vec![entry(term, last + 1)]),
+            slot(last, term, vec![entry(term, last + 1)]),
+        ]);
+        disk.lose_power(&mut random);
+        let (storage, recovered) = reopen(&disk);
+        assert_eq!(storage.id(), 9, "seed {seed}");
+        assert!(recovered.term >= written, "seed {seed}: the term is lost");
+        let found = recovered.entries.last().map_or(0, |entry| entry.index);
+        let found = found.max(recovered.snapshot.as_ref().map_or(0, |kept| kept.index));
+        assert!(found >= last, "seed {seed}: {found} of {last} entries, {torn:?}");
+        assert!(found <= last + 1, "seed {seed}: an entry from nowhere");
+    }
+}
+
+#[test]
+fn a_cut_tail_and_a_new_term_replace_entries() {
+    let disk = SimDisk::default();
+    let mut storage = Storage::create(disk.clone(), 9).unwrap();
+    let old = vec![entry(1, 1), entry(1, 2), entry(1, 3)];
+    storage.apply(vec![Write::Append(old)]).unwrap();
+    storage.apply(vec![Write::Truncate { from: 2 }, Write::Append(vec![entry(2, 2)])]).unwrap();
+    let (_, recovered) = reopen(&disk);
+    assert_eq!(recovered.entries, [entry(1, 1), entry(2, 2)]);
+}
+
+#[test]
+fn damage_to_synced_memory_is_told_and_never_taken_for_a_torn_tail() {
+    for file in LOGS.iter().chain(&SLOTS) {
+        let disk = SimDisk::default();
+        let mut storage = Storage::create(disk.clone(), 9).unwrap();
+        storage.apply(vec![slot(0, 1, Vec::new())]).unwrap();
+        for index in 1..=5 {
+            storage.apply(vec![Write::Append(vec![entry(1, index)])]).unwrap();
+        }
+        let live = disk.length(file) > 0 && (*file == LOGS[0] || *file == SLOTS[0]);
+        let at = if file.starts_with("log") { 150 } else { 30 };
+        disk.damage(file, at);
+        match open(disk.clone()).unwrap() {
+            Opened::Damaged { finding, .. } => assert!(live, "{file}: {finding}"),
+            Opened::Whole { recovered, .. } => {
+                assert!(!live, "{file}: damage went unseen");
+                assert_eq!(recovered.entries.len(), 5);
+            }
+            Opened::Empty(_) => panic!("{file}: taken for empty"),
+        }
+    }
+}
+
+#[test]
+fn a_torn_first_start_is_an_empty_disk() {
+    let mut disk = SimDisk::default();
+    disk.write(SLOTS[1], 0, b"PBSLOT01 half").unwrap();
+    assert!(matches!(open(disk).unwrap(), Opened::Empty(_)));
+}
