--- a/crates/controller/tests/bench/mod.rs
+++ b/crates/controller/tests/bench/mod.rs
@@ -181,8 +181,10 @@
     }
 
     pub fn list(&mut self, targets: &[(&str, &str)]) {
-        let rows: Vec<String> =
-            targets.iter().map(|(instance, service)| Bench::row(instance, service, false)).collect();
+        let rows: Vec<String> = targets
+            .iter()
+            .map(|(instance, service)| Bench::row(instance, service, false))
+            .collect();
         self.rows(&rows, None);
     }
 
--- /dev/null
+++ b/crates/simulation/tests/failures.rs
@@ -0,0 +1,83 @@
+//! Each line of what fails, brought about in whole clusters over fixed seeds; `simulate` runs any number.
+
+use postbarrow_simulation::{ALL, Ended, Fault, Scenario};
+
+fn check(name: &str, scenario: &Scenario) -> Ended {
+    let ended = scenario.run();
+    let seed = scenario.seed;
+    assert!(ended.violations.is_empty(), "{name}, seed {seed}: {:#?}", ended.violations);
+    assert!(ended.told.ran > 100, "{name}, seed {seed}: hardly anything ran");
+    assert!(ended.passes > 100 && ended.calls > 50, "{name}, seed {seed}: hardly tried");
+    ended
+}
+
+fn each(fault: Fault) {
+    for seed in 1..=3 {
+        check(&format!("{fault:?}"), &Scenario::new(seed, &[fault], 4));
+    }
+}
+
+macro_rules! faults {
+    ($($name:ident: $fault:ident,)*) => {
+        $(#[test] fn $name() { each(Fault::$fault); })*
+        const NAMED: &[Fault] = &[$(Fault::$fault),*];
+    };
+}
+
+faults! {
+    a_control_node_is_killed: KillControl,
+    power_is_lost_right_after_yes: PowerLoss,
+    power_is_lost_everywhere: PowerLossOfAll,
+    all_control_nodes_are_killed: KillAllControl,
+    a_disk_is_lost_and_comes_back_empty: EmptyDisk,
+    a_core_machine_returns_empty_at_a_new_address: EmptyDiskElsewhere,
+    a_control_node_freezes_and_wakes: FreezeControl,
+    a_control_node_is_cut_off: CutControl,
+    the_core_is_split: SplitCore,
+    a_link_of_the_core_is_cut_one_way: OneWayCut,
+    a_data_node_is_killed: KillData,
+    many_data_nodes_are_killed: KillManyData,
+    a_data_node_freezes_and_wakes: FreezeData,
+    a_data_node_is_cut_off: CutData,
+    links_are_slow: SlowLinks,
+    links_lose_frames: LossyLinks,
+    a_target_vanishes: KillTarget,
+    a_target_hangs: FreezeTarget,
+    a_target_is_emptied_and_removed: DrainTarget,
+    an_address_goes_to_another_service: PassAddress,
+}
+
+#[test]
+fn every_fault_has_its_test() {
+    assert_eq!(NAMED, ALL);
+}
+
+#[test]
+fn all_faults_together_in_drawn_order() {
+    let mut told = [0; 4];
+    for seed in 1..=12 {
+        let ended = check("everything", &Scenario::everything(seed));
+        told[0] += ended.told.notRun;
+        told[1] += ended.told.unknown;
+        told[2] += ended.plans as usize;
+        told[3] += ended.refusals as usize;
+    }
+    assert!(told.iter().all(|count| *count > 0), "the faults left no mark: {told:?}");
+}
+
+#[test]
+fn a_seed_replays_identically() {
+    let mut scenario = Scenario::everything(77);
+    scenario.log = true;
+    let (one, two) = (scenario.run(), scenario.run());
+    assert_eq!(one.digest, two.digest);
+    assert_eq!(one.log, two.log);
+    scenario.seed = 78;
+    assert_ne!(one.digest, scenario.run().digest);
+}
+
+#[test]
+fn nothing_is_lost_or_late_without_faults() {
+    let ended = check("quiet", &Scenario::new(5, &ALL, 0));
+    assert_eq!((ended.told.notRun, ended.told.unknown), (0, 0));
+}
--- a/crates/transactions/tests/framing.rs
+++ b/crates/transactions/tests/framing.rs
@@ -1,4 +1,6 @@
-use postbarrow_constants::plans::{BATCH_BYTES, DELTA_BYTES, MARKER_TEXT_BYTES, TRANSACTION_OPEN_MS};
+use postbarrow_constants::plans::{
+    BATCH_BYTES, DELTA_BYTES, MARKER_TEXT_BYTES, TRANSACTION_OPEN_MS,
+};
 use postbarrow_transactions::*;
 
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/programs/data-plane/src/lib.rs
+++ b/programs/data-plane/src/lib.rs
@@ -11,6 +11,9 @@
 mod upstream;
 mod wire;
 
+#[cfg(test)]
+mod tests;
+
 use crate::core::{Command, Core};
 use log::info;
 use postbarrow_constants::traffic::{STOP_UNREADY_MS, STOP_WAIT_MS};
--- /dev/null
+++ b/programs/data-plane/src/tests/mod.rs
@@ -0,0 +1,4 @@
+mod answers;
+mod asks;
+mod rig;
+mod traps;
--- /dev/null
+++ b/programs/data-plane/src/tests/rig.rs
@@ -0,0 +1,240 @@
+use crate::core::Command;
+use crate::downstream;
+use crate::share::Shared;
+use crate::upstream::Pools;
+use postbarrow_constants::traffic::PROOF_PATH;
+use postbarrow_messages::{Ask, Response};
+use postbarrow_routing::Table;
+use postbarrow_state::*;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::Ordering::Relaxed;
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+#[derive(Clone, Default)]
+pub struct Seen {
+    pub heads: Vec<String>,
+    pub bodies: Vec<Vec<u8>>,
+}
+
+/// What a target does with the next ask it gets.
+#[derive(Clone)]
+pub enum Script {
+    Whole(&'static str),
+    /// These bytes, then the connection ends.
+    Raw(Vec<u8>),
+    /// A whole response, then the connection ends without a word of it.
+    WholeThenClose(&'static str),
+}
+
+/// A target on a real socket that proves itself and then plays its script.
+pub struct ScriptedTarget {
+    pub address: SocketAddr,
+    pub seen: Arc<Mutex<Seen>>,
+}
+
+pub fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<(String, Vec<u8>)> {
+    loop {
+        if let Some(end) = buffer.windows(4).position(|four| four == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&buffer[..end + 4]).into_owned();
+            let length = head
+                .lines()
+                .find_map(|line| {
+                    line.to_ascii_lowercase().strip_prefix("content-length: ")?.parse().ok()
+                })
+                .unwrap_or(0);
+            if buffer.len() >= end + 4 + length {
+                let body = buffer[end + 4..end + 4 + length].to_vec();
+                buffer.drain(..end + 4 + length);
+                return Some((head, body));
+            }
+        }
+        let mut part = [0; 4096];
+        match stream.read(&mut part) {
+            Ok(0) | Err(_) => return None,
+            Ok(length) => buffer.extend_from_slice(&part[..length]),
+        }
+    }
+}
+
+fn whole(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nX-T: 1\r\nX-T: 2\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+impl ScriptedTarget {
+    pub fn start(instance: &'static str, service: &'static str, script: Vec<Script>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let seen = Arc::new(Mutex::new(Seen::default()));
+        let script = Arc::new(Mutex::new(script));
+        let told = seen.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (script, told) = (script.clone(), told.clone());
+                thread::spawn(move || play(stream, instance, service, &script, &told));
+            }
+        });
+        ScriptedTarget { address, seen }
+    }
+
+    pub fn runs(&self) -> usize {
+        self.seen.lock().unwrap().heads.len()
+    }
+}
+
+fn play(
+    mut stream: TcpStream,
+    instance: &str,
+    service: &str,
+    script: &Mutex<Vec<Script>>,
+    told: &Mutex<Seen>,
+) {
+    let mut buffer = Vec::new();
+    while let Some((head, body)) = read_request(&mut stream, &mut buffer) {
+        if head.contains(PROOF_PATH) {
+            let proof = format!(
+                "{{\"instance\":\"{instance}\",\"service\":\"{service}\",\"labels\":{{}},\"occupancy\":0}}"
+            );
+            stream.write_all(whole(&proof).as_bytes()).unwrap();
+            continue;
+        }
+        let next = {
+            let mut seen = told.lock().unwrap();
+            seen.heads.push(head);
+            seen.bodies.push(body);
+            let mut script = script.lock().unwrap();
+            if script.len() > 1 { script.remove(0) } else { script[0].clone() }
+        };
+        match next {
+            Script::Whole(body) => stream.write_all(whole(body).as_bytes()).unwrap(),
+            Script::Raw(bytes) => {
+                let _ = stream.write_all(&bytes);
+                return;
+            }
+            Script::WholeThenClose(body) => {
+                let _ = stream.write_all(whole(body).as_bytes());
+                return;
+            }
+        }
+    }
+}
+
+/// One node whose image and hold the test sets, and whose controller the test plays.
+pub struct Rig {
+    pub shared: Arc<Shared>,
+    pub http: SocketAddr,
+    pub asked: Arc<Mutex<Vec<Ask>>>,
+}
+
+pub fn target(instance: &str, service: &str, address: SocketAddr) -> Target {
+    Target {
+        instance: instance.into(),
+        service: service.into(),
+        address,
+        zone: "a".into(),
+        labels: Labels::new(),
+        draining: false,
+        down: false,
+    }
+}
+
+impl Rig {
+    pub fn new(targets: Vec<Target>, answer: impl Fn(&Ask) -> Response + Send + 'static) -> Rig {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let http = listener.local_addr().unwrap();
+        let own = Node { incarnation: 7, name: "n".into(), address: http, http, zone: "a".into() };
+        let (commands, queue) = channel();
+        let shared = Arc::new(Shared::new(own, commands));
+        let asked = Arc::new(Mutex::new(Vec::new()));
+        let told = asked.clone();
+        thread::spawn(move || {
+            for command in queue {
+                if let Command::Ask { ask, reply, .. } = command {
+                    let response = answer(&ask);
+                    told.lock().unwrap().push(ask);
+                    if let Some(reply) = reply {
+                        let _ = reply.send(response);
+                    }
+                }
+            }
+        });
+        let rig = Rig { shared, http, asked };
+        rig.publish(targets);
+        rig.shared.holdUntilMs.store(u64::MAX, Relaxed);
+        downstream::listen(listener, rig.shared.clone()).unwrap();
+        rig
+    }
+
+    pub fn publish(&self, targets: Vec<Target>) {
+        let mut state = State::default();
+        let plan = PlanHead { version: "v1".into(), base: None, offset: 1 };
+        state.plan = Some(Arc::new(plan));
+        for service in ["s", "t"] {
+            let labels = Labels::from([("service".into(), service.into())]);
+            let service = Service { name: service.into(), labels };
+            state.services.insert(service.name.clone(), Arc::new(service));
+        }
+        let route = |path: &str, method: &str, kind, service: &str| Route {
+            path: path.into(),
+            methods: vec![method.into()],
+            kind,
+            service: service.into(),
+            when: None,
+            bodyBytes: 1_000,
+            ratePerS: None,
+            concurrency: None,
+            deadlineMs: 4_000,
+        };
+        state.routes.push_back(Arc::new(route("/look/*", "GET", Kind::Lookup, "s")));
+        state.routes.push_back(Arc::new(route("/post/*", "POST", Kind::OneTime, "s")));
+        for target in targets {
+            state.targets.insert(target.instance.clone(), Arc::new(target));
+        }
+        let table = Table::new(Arc::new(state), 1, &self.shared.table.load());
+        let pools = Pools::carry(&self.shared.pools.load(), &table);
+        self.shared.pools.store(Arc::new(pools));
+        self.shared.table.store(Arc::new(table));
+    }
+
+    /// Sends raw bytes and gives back all that comes until the node closes.
+    pub fn raw(&self, bytes: &[u8]) -> String {
+        let mut stream = TcpStream::connect(self.http).unwrap();
+        stream.write_all(bytes).unwrap();
+        stream.shutdown(Shutdown::Write).unwrap();
+        let mut told = Vec::new();
+        let _ = stream.read_to_end(&mut told);
+        String::from_utf8_lossy(&told).into_owned()
+    }
+
+    pub fn get(&self, path: &str) -> String {
+        self.raw(format!("GET {path} HTTP/1.1\r\nHost: h\r\n\r\n").as_bytes())
+    }
+
+    pub fn post(&self, headers: &str, body: &str) -> String {
+        let length = body.len();
+        self.raw(
+            format!("POST /post/1 HTTP/1.1\r\nHost: h\r\n{headers}Content-Length: {length}\r\n\r\n{body}")
+                .as_bytes(),
+        )
+    }
+
+    pub fn settled(&self) -> Vec<Settlement> {
+        let asked = self.asked.lock().unwrap();
+        let settled = asked.iter().filter_map(|ask| match ask {
+            Ask::Settle { settlement, .. } => Some(*settlement),
+            _ => None,
+        });
+        settled.collect()
+    }
+}
+
+/// A controller that grants and settles all.
+pub fn yes(ask: &Ask) -> Response {
+    match ask {
+        Ask::Ticket(_) => Response::Granted,
+        Ask::Settle { .. } => Response::Settled,
+        _ => Response::Refused("not asked here".into()),
+    }
+}
