--- a/crates/simulation/src/asks.rs
+++ b/crates/simulation/src/asks.rs
@@ -80,7 +80,7 @@
             return self.end_ask(ask, Verdict { told: postbarrow_node::Told::NoRoute, about });
         };
         let startMs = self.local_ms(Who::Data(data));
-        let seed = self.random.next();
+        let seed = self.random.draw();
         let machine = &mut self.data[data];
         machine.number += 1;
         let key = match keyed {
--- a/crates/simulation/src/control.rs
+++ b/crates/simulation/src/control.rs
@@ -35,8 +35,8 @@
 
 impl World {
     pub fn start_control(&mut self, at: usize) {
-        let seed = self.random.next();
-        let id = self.random.next().max(1);
+        let seed = self.random.draw();
+        let id = self.random.draw().max(1);
         let nowMs = self.local_ms(Who::Control(at));
         let seeds = self.seeds.clone();
         let machine = &mut self.control[at];
--- a/crates/simulation/src/data.rs
+++ b/crates/simulation/src/data.rs
@@ -48,7 +48,7 @@
 
 impl World {
     pub fn start_data(&mut self, at: usize) {
-        let incarnation = self.random.next();
+        let incarnation = self.random.draw();
         let nowMs = self.local_ms(Who::Data(at));
         let mut seeds = self.seeds.clone();
         if at > 0 {
--- a/crates/simulation/src/random.rs
+++ b/crates/simulation/src/random.rs
@@ -7,7 +7,7 @@
         Random(seed.wrapping_mul(0x2545_f491_4f6c_dd1d) ^ 0x9e37_79b9_7f4a_7c15)
     }
 
-    pub fn next(&mut self) -> u64 {
+    pub fn draw(&mut self) -> u64 {
         self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let mut mixed = self.0;
         mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -16,7 +16,7 @@
     }
 
     pub fn below(&mut self, count: u64) -> u64 {
-        self.next() % count.max(1)
+        self.draw() % count.max(1)
     }
 
     pub fn between(&mut self, least: u64, most: u64) -> u64 {
--- a/programs/data-plane/src/calls.rs
+++ b/programs/data-plane/src/calls.rs
@@ -120,11 +120,8 @@
     loop {
         let call = call.clone();
         match shared.ask(Ask::Call { id: None, call }, ASK_CONTROLLER_MS) {
-            Response::Outcome(Outcome::Events { events, next }) => {
-                if first || !events.is_empty() || over() {
-                    return tell(Outcome::Events { events, next });
-                }
-            }
+            Response::Outcome(Outcome::Events { events, .. })
+                if events.is_empty() && !first && !over() => {}
             Response::Outcome(outcome) => return tell(outcome),
             Response::Refused(why) => return error(400, &why),
             _ if over() => return error(503, "no controller responds"),
--- a/programs/data-plane/src/upstream.rs
+++ b/programs/data-plane/src/upstream.rs
@@ -44,13 +44,11 @@
 
     pub fn take(&self, target: &Target) -> Option<Proved> {
         let (address, idle) = self.0.get(&target.instance)?;
-        while *address == target.address {
-            let proved = idle.pop()?;
-            if now_ms() < proved.usedMs + IDLE_CONNECTION_MS {
-                return Some(proved);
-            }
+        if *address != target.address {
+            return None;
         }
-        None
+        let fresh = |proved: &Proved| now_ms() < proved.usedMs + IDLE_CONNECTION_MS;
+        std::iter::from_fn(|| idle.pop()).find(fresh)
     }
 
     pub fn give(&self, target: &Target, proved: Proved) {
