--- a/crates/simulation/src/history.rs
+++ b/crates/simulation/src/history.rs
@@ -1,3 +1,4 @@
+use crate::linear;
 use crate::world::World;
 use postbarrow_state::{Call, Outcome};
 use std::collections::{BTreeMap, BTreeSet};
@@ -29,7 +30,7 @@
             highest.entry(name).or_default().push((done.startUs, done.endUs, value, write));
         }
     }
-    let mut found = Vec::new();
+    let mut found = linear::check(&world.callers.done);
     for (name, rows) in &highest {
         for (startUs, _, value, write) in rows {
             let before = rows.iter().filter(|(_, endUs, _, _)| endUs < startUs);
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -9,6 +9,7 @@
 mod disk;
 mod faults;
 mod history;
+mod linear;
 mod net;
 mod operator;
 mod random;
--- /dev/null
+++ b/crates/simulation/src/linear.rs
@@ -0,0 +1,114 @@
+//! Whether a history of calls on one name has an order that a single copy could have given.
+
+use crate::calls::Done;
+use postbarrow_state::{Call, Outcome};
+use std::collections::{BTreeMap, HashSet};
+
+/// One name's single copy: a number, a key's revision, or a lock's fence while held.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+struct Copy {
+    number: u64,
+    revision: u64,
+}
+
+/// What a call means to the single copy: None if it can't come now.
+fn step(copy: Copy, call: &Call, outcome: &Outcome) -> Option<Copy> {
+    let same = |holds: bool| holds.then_some(copy);
+    match (call, outcome) {
+        (Call::Next { by, .. }, Outcome::Number(value)) => {
+            (copy.number + by == *value).then_some(Copy { number: *value, ..copy })
+        }
+        (Call::ReadNumber { .. }, Outcome::Number(value)) => same(copy.number == *value),
+        (Call::Put { revision, .. }, Outcome::Key(key)) => {
+            let found = revision.is_none_or(|asked| asked == copy.revision);
+            (found && key.revision > copy.revision)
+                .then_some(Copy { revision: key.revision, ..copy })
+        }
+        (Call::Put { .. }, Outcome::Conflict { revision }) => same(copy.revision == *revision),
+        (Call::ReadKey { .. }, Outcome::Key(key)) => same(copy.revision == key.revision),
+        (Call::ReadKey { .. }, Outcome::NoKey) => same(copy.revision == 0),
+        _ => Some(copy),
+    }
+}
+
+/// Searches for such an order, calls that never ended left out only if nothing saw them.
+fn has_order(history: &[&Done]) -> bool {
+    let mut seen: HashSet<(Vec<bool>, Copy)> = HashSet::new();
+    let mut open = vec![(vec![false; history.len()], Copy::default())];
+    while let Some((taken, copy)) = open.pop() {
+        if taken.iter().all(|one| *one) {
+            return true;
+        }
+        let left = || history.iter().enumerate().filter(|(at, _)| !taken[*at]);
+        let firstEnd = left().map(|(_, done)| done.endUs).min().unwrap_or(u64::MAX);
+        for (at, done) in left().filter(|(_, done)| done.startUs <= firstEnd) {
+            if let Some(next) = step(copy, &done.call, &done.outcome) {
+                let mut then = taken.clone();
+                then[at] = true;
+                if seen.insert((then.clone(), next)) {
+                    open.push((then, next));
+                }
+            }
+        }
+    }
+    false
+}
+
+fn name_of(call: &Call) -> Option<String> {
+    match call {
+        Call::Next { name, .. } | Call::ReadNumber { name } => Some(format!("number {name}")),
+        Call::Put { name, .. } | Call::ReadKey { name } => Some(format!("key {name}")),
+        _ => None,
+    }
+}
+
+/// Names whose history no single copy could have given.
+pub fn check(calls: &[Done]) -> Vec<String> {
+    let mut byName: BTreeMap<String, Vec<&Done>> = BTreeMap::new();
+    for done in calls {
+        if let Some(name) = name_of(&done.call) {
+            byName.entry(name).or_default().push(done);
+        }
+    }
+    let bad = byName.into_iter().filter_map(|(name, mut history)| {
+        history.sort_by_key(|done| done.startUs);
+        (!has_order(&history)).then(|| format!("{name}: {} calls have no order", history.len()))
+    });
+    bad.collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use postbarrow_state::Key;
+
+    fn done(startUs: u64, endUs: u64, call: Call, outcome: Outcome) -> Done {
+        Done { caller: 0, startUs, endUs, call, outcome }
+    }
+
+    fn next(startUs: u64, endUs: u64, value: u64) -> Done {
+        let call = Call::Next { name: "n".into(), by: 1 };
+        done(startUs, endUs, call, Outcome::Number(value))
+    }
+
+    fn put(startUs: u64, endUs: u64, asked: u64, revision: u64) -> Done {
+        let call = Call::Put { name: "k".into(), value: vec![], revision: Some(asked) };
+        done(startUs, endUs, call, Outcome::Key(Key { value: vec![], revision }))
+    }
+
+    fn read(startUs: u64, endUs: u64, revision: u64) -> Done {
+        let call = Call::ReadKey { name: "k".into() };
+        done(startUs, endUs, call, Outcome::Key(Key { value: vec![], revision }))
+    }
+
+    #[test]
+    fn planted_bad_histories_are_found_and_good_ones_pass() {
+        assert!(check(&[next(0, 9, 2), next(1, 8, 1), next(10, 11, 3)]).is_empty());
+        assert_eq!(check(&[next(0, 1, 2), next(2, 3, 1)]).len(), 1, "real time turned round");
+        assert_eq!(check(&[next(0, 5, 1), next(1, 6, 1)]).len(), 1, "one number given twice");
+        assert_eq!(check(&[next(0, 5, 1), next(6, 7, 3)]).len(), 1, "a number nobody was given");
+        assert!(check(&[put(0, 5, 0, 4), read(3, 9, 4), put(6, 8, 4, 7)]).is_empty());
+        assert_eq!(check(&[put(0, 5, 0, 4), put(6, 8, 0, 7)]).len(), 1, "a lost update");
+        assert_eq!(check(&[put(0, 1, 0, 4), put(2, 3, 4, 7), read(4, 5, 4)]).len(), 1, "stale");
+    }
+}
