--- /dev/null
+++ b/crates/messages/tests/garbled.rs
@@ -0,0 +1,131 @@
+//! Mutated frames, plans, list pages, slots and logs: an error that names the place, or a sound
+//! value, never a panic and never more memory than the input justifies.
+
+use postbarrow_consensus::{Entry, Hard, Payload, Write};
+use postbarrow_constants::traffic::FRAME_BYTES;
+use postbarrow_messages::*;
+use postbarrow_simulation::{Random, SimDisk};
+use postbarrow_storage::{Disk, LOGS, Opened, SLOTS, Storage, open};
+
+fn garble(random: &mut Random, bytes: &[u8]) -> Vec<u8> {
+    let mut bytes = bytes.to_vec();
+    for _ in 0..=random.below(4) {
+        let length = bytes.len() as u64;
+        match random.below(5) {
+            0 if length > 0 => bytes[random.below(length) as usize] = random.draw() as u8,
+            1 if length > 0 => bytes.truncate(random.below(length) as usize),
+            2 => bytes.insert(random.below(length + 1) as usize, random.draw() as u8),
+            3 if length > 0 => {
+                let (from, to) = (random.below(length) as usize, random.below(length) as usize);
+                let part = bytes[from.min(to)..from.max(to)].to_vec();
+                bytes.extend(part);
+            }
+            _ if length > 0 => bytes[random.below(length) as usize] ^= 1 << random.below(8),
+            _ => {}
+        }
+    }
+    bytes
+}
+
+fn frame() -> Vec<u8> {
+    let entries = vec![Entry { term: 3, index: 9, payload: Payload::Batch(vec![1; 60]) }];
+    let append = postbarrow_consensus::Append {
+        term: 3,
+        prev: 8,
+        prevTerm: 2,
+        entries,
+        commit: 7,
+        sentMs: 1_000,
+    };
+    let from = postbarrow_consensus::Member { id: 1, address: "10.0.0.1:1".parse().unwrap() };
+    let message = postbarrow_consensus::Message::Append(append);
+    let message = Message::Consensus { from, to: 2, message };
+    to_frame(&Envelope { from: from.address, message }).unwrap()
+}
+
+#[test]
+fn frames() {
+    let whole = frame();
+    assert!(read_frame(&mut &whole[..]).is_ok());
+    let (mut read, mut refused) = (0, 0);
+    for seed in 0..20_000 {
+        let garbled = garble(&mut Random::new(seed), &whole);
+        match read_frame(&mut &garbled[..]) {
+            Ok(_) => read += 1,
+            Err(error) => {
+                assert!(!error.to_string().is_empty());
+                refused += 1;
+            }
+        }
+    }
+    assert!(refused > 5_000 && read > 100, "{read} read, {refused} refused");
+    let mut huge = (FRAME_BYTES as u32 + 1).to_be_bytes().to_vec();
+    huge.extend([0; 10]);
+    assert!(matches!(read_frame(&mut &huge[..]), Err(FrameError::TooLarge { .. })));
+    let claims = (FRAME_BYTES as u32).to_be_bytes();
+    assert!(matches!(read_frame(&mut &claims[..]), Err(FrameError::Closed)));
+}
+
+const PLAN: &str = r#"{"version": "v1", "base": null,
+ "services": {"s": {"labels": {"service": "s"}}},
+ "routes": [{"path": "/a/{b}/*", "methods": ["GET"], "kind": "lookup", "service": "s",
+   "when": "headers['x'] == 'y' || path.startsWith('/a')", "limits": {"bodyBytes": 10, "deadlineMs": 100}}]}"#;
+
+#[test]
+fn plans() {
+    let mut refused = 0;
+    for seed in 0..3_000 {
+        let garbled = garble(&mut Random::new(seed), PLAN.as_bytes());
+        if let Err(findings) = postbarrow_plan::Plan::read(&garbled) {
+            assert!(findings.findings.iter().all(|finding| finding.place.starts_with('$')));
+            refused += 1;
+        }
+    }
+    assert!(refused > 1_000, "{refused} refused");
+    let deep = "[".repeat(100_000);
+    assert!(postbarrow_plan::Plan::read(deep.as_bytes()).is_err());
+}
+
+#[test]
+fn list_pages() {
+    let page = br#"{"targets":[{"instance":"a","service":"s","address":"10.0.0.1:1","zone":"z","labels":{"l":"v"},"draining":true}],"next":"1"}"#;
+    assert!(postbarrow_controller::read_page(page).is_ok());
+    let mut refused = 0;
+    for seed in 0..5_000 {
+        let garbled = garble(&mut Random::new(seed), page);
+        refused += u32::from(postbarrow_controller::read_page(&garbled).is_err());
+    }
+    assert!(refused > 1_000, "{refused} refused");
+}
+
+#[test]
+fn slots_and_logs() {
+    let mut told = [0; 3];
+    for seed in 0..1_500 {
+        let mut random = Random::new(seed);
+        let mut disk = SimDisk::default();
+        let mut storage = Storage::create(disk.clone(), 9).unwrap();
+        for index in 1..=6 {
+            let entry = Entry { term: 1, index, payload: Payload::Batch(vec![index as u8; 30]) };
+            let hard = Hard { term: 1, voted: Some(3) };
+            storage.apply(vec![Write::Hard(hard), Write::Append(vec![entry])]).unwrap();
+        }
+        let file = [SLOTS[0], SLOTS[1], LOGS[0], LOGS[1]][random.below(4) as usize];
+        let garbled = garble(&mut random, &disk.read(file).unwrap());
+        disk.truncate(file, 0).unwrap();
+        disk.write(file, 0, &garbled).unwrap();
+        match open(disk).unwrap() {
+            Opened::Whole { recovered, .. } => {
+                let indexes: Vec<u64> = recovered.entries.iter().map(|entry| entry.index).collect();
+                assert_eq!(indexes, (1..=indexes.len() as u64).collect::<Vec<_>>(), "seed {seed}");
+                told[0] += 1;
+            }
+            Opened::Empty(_) => told[1] += 1,
+            Opened::Damaged { finding, .. } => {
+                assert!(!finding.is_empty());
+                told[2] += 1;
+            }
+        }
+    }
+    assert!(told[0] > 100 && told[2] > 100, "{told:?}");
+}
--- /dev/null
+++ b/crates/node/tests/hold.rs
@@ -0,0 +1,144 @@
+use postbarrow_constants::nodes::*;
+use postbarrow_membership::NewsEntry;
+use postbarrow_messages::*;
+use postbarrow_node::{DataNode, Effect, Input};
+use postbarrow_state::{Name, Node, PlanHead, Record, State};
+use postbarrow_transactions::{Line, encode};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+fn address(last: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, last], 1))
+}
+
+struct Bench {
+    node: DataNode,
+    nowMs: u64,
+    asked: Vec<(u64, u64)>,
+    tailed: Vec<(SocketAddr, u64)>,
+}
+
+impl Bench {
+    fn new() -> Bench {
+        let own = Node {
+            incarnation: 5,
+            name: Name::from("n"),
+            address: address(9),
+            http: address(9),
+            zone: Name::from("a"),
+        };
+        let node = DataNode::new(own, vec![address(1)], 10_000);
+        Bench { node, nowMs: 10_000, asked: Vec::new(), tailed: Vec::new() }
+    }
+
+    fn input(&mut self, input: Input) {
+        for effect in self.node.handle(self.nowMs, input) {
+            match effect {
+                Effect::Send { message: Message::Fresh(ask), .. } => {
+                    self.asked.push((ask.number, self.nowMs))
+                }
+                Effect::Send { to, message: Message::Tail { after } } => {
+                    self.tailed.push((to, after))
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn pulse(&mut self, passMs: u64) {
+        self.nowMs += passMs;
+        self.input(Input::Pulse);
+    }
+
+    fn hears(&mut self, message: Message) {
+        self.input(Input::Receive(Envelope { from: address(1), message }));
+    }
+
+    fn granted(&mut self, number: u64, term: u64, watermark: u64) {
+        let fresh = Fresh::Granted { term, watermark, members: vec![address(1)] };
+        self.hears(Message::FreshResponse { number, fresh });
+    }
+
+    fn news(&mut self, prev: u64, offset: u64, lines: &[Line<Record>]) {
+        let entries = vec![NewsEntry { prev, offset, bytes: encode(lines) }];
+        self.hears(Message::News { entries });
+    }
+}
+
+fn plan(version: &str) -> Line<Record> {
+    Line::Data(Record::PlanStart { version: version.into(), base: None })
+}
+
+#[test]
+fn a_hold_counts_from_the_question_and_not_from_its_answer() {
+    let mut bench = Bench::new();
+    bench.pulse(20);
+    let (number, sentMs) = bench.asked[0];
+    bench.news(0, 4, &[plan("v1")]);
+    bench.nowMs += NODE_HOLD_MS - 10;
+    bench.granted(number, 1, 4);
+    assert_eq!(bench.node.hold_until(), sentMs + NODE_HOLD_MS);
+    assert!(bench.node.is_ready(bench.nowMs));
+    assert!(!bench.node.is_ready(bench.nowMs + 10), "a woken node does not serve by old news");
+}
+
+#[test]
+fn a_grant_counts_only_once_its_watermark_is_published() {
+    let mut bench = Bench::new();
+    bench.pulse(20);
+    bench.granted(bench.asked[0].0, 1, 6);
+    bench.news(0, 4, &[plan("v1")]);
+    assert!(!bench.node.is_ready(bench.nowMs), "published 4 of 6");
+    bench.news(4, 6, &[Line::begin("v2"), plan("v2")]);
+    assert!(!bench.node.is_ready(bench.nowMs), "a pending delta is not published");
+    bench.news(6, 7, &[Line::End]);
+    assert!(bench.node.is_ready(bench.nowMs));
+    assert_eq!(bench.node.image().plan_version(), Some("v2"));
+}
+
+#[test]
+fn an_older_controller_grants_nothing() {
+    let mut bench = Bench::new();
+    bench.pulse(20);
+    bench.news(0, 4, &[plan("v1")]);
+    bench.granted(bench.asked[0].0, 3, 4);
+    let first = bench.node.hold_until();
+    bench.pulse(FRESH_MS);
+    let number = bench.asked.last().unwrap().0;
+    bench.granted(number, 2, 4);
+    assert_eq!(bench.node.hold_until(), first);
+    bench.granted(number, 3, 4);
+    assert!(bench.node.hold_until() > first);
+    bench.granted(number + 99, 3, 4);
+    assert!(bench.node.hold_until() < bench.nowMs + NODE_HOLD_MS + 1, "nobody asked that");
+}
+
+#[test]
+fn a_gap_in_the_news_is_fetched_and_an_older_image_is_not_taken() {
+    let mut bench = Bench::new();
+    bench.pulse(20);
+    bench.granted(bench.asked[0].0, 1, 4);
+    bench.news(0, 4, &[plan("v1")]);
+    bench.news(6, 8, &[plan("v3")]);
+    assert_eq!(bench.node.image().plan_version(), Some("v1"));
+    bench.tailed.clear();
+    bench.pulse(60);
+    assert_eq!(bench.tailed, [(address(1), 4)], "it asks for what follows 4");
+    let mut state = State::default();
+    let head = PlanHead { version: "v0".into(), base: None, offset: 2 };
+    state.plan = Some(Arc::new(head));
+    let state = rmp_serde::to_vec(&state).unwrap();
+    bench.hears(Message::Image(ImageFrame { offset: 3, state }));
+    assert_eq!(bench.node.image().plan_version(), Some("v1"));
+}
+
+#[test]
+fn a_stopping_node_is_unready_first_and_still_holds_for_asks_in_flight() {
+    let mut bench = Bench::new();
+    bench.pulse(20);
+    bench.news(0, 4, &[plan("v1")]);
+    bench.granted(bench.asked[0].0, 1, 4);
+    bench.input(Input::Stop);
+    assert!(!bench.node.is_ready(bench.nowMs));
+    assert!(bench.node.hold_until() > bench.nowMs);
+}
--- a/crates/plan/src/document.rs
+++ b/crates/plan/src/document.rs
@@ -56,11 +56,7 @@
     let mut routes = Vec::new();
     let mut known = BTreeSet::new();
     for (place, value) in fields.array("routes", reading) {
-        let Some(route) = read_route(&place, value, reading) else { continue };
-        if !services.contains_key(route.service.as_str()) {
-            let message = format!("names {:?}, which is not among the services", route.service);
-            reading.find(&format!("{place}.service"), message);
-        }
+        let Some(route) = read_route(&place, value, &services, reading) else { continue };
         for method in &route.methods {
             let shape = Pattern::read(&route.path).map(|pattern| pattern.shape());
             if !known.insert((shape.ok(), method.clone(), route.when.clone())) {
@@ -90,7 +86,12 @@
     Some(Service { name: CompactString::from(name), labels })
 }
 
-fn read_route(place: &str, value: &Value, reading: &mut Reading) -> Option<Route> {
+fn read_route(
+    place: &str,
+    value: &Value,
+    services: &BTreeMap<String, Service>,
+    reading: &mut Reading,
+) -> Option<Route> {
     let mut fields = Fields::of(value, place, reading)?;
     let path = fields.text("path", reading);
     if let Some(path) = path
@@ -98,6 +99,9 @@
     {
         reading.find(&fields.place("path"), message);
     }
+    if path.is_some_and(|path| path == "/ready" || path.starts_with("/coordination/")) {
+        reading.find(&fields.place("path"), "is kept for the nodes themselves".into());
+    }
     let mut methods = Vec::new();
     for (place, value) in fields.array("methods", reading) {
         let Some(method) = text(value, &place, reading) else { continue };
@@ -127,6 +131,10 @@
         }
     }
     let service = fields.text("service", reading).map(CompactString::from);
+    if let Some(name) = service.as_ref().filter(|name| !services.contains_key(name.as_str())) {
+        let message = format!("names {name:?}, which is not among the services");
+        reading.find(&fields.place("service"), message);
+    }
     let when = fields.text_or_none("when", reading).map(str::to_string);
     if let Some(rule) = &when
         && let Err(message) = Rule::compile(rule)
--- a/crates/plan/src/path.rs
+++ b/crates/plan/src/path.rs
@@ -46,7 +46,7 @@
         let mut parts = rest.split('/');
         for segment in &self.segments {
             match segment {
-                Segment::Rest => return true,
+                Segment::Rest => return parts.next().is_some(),
                 Segment::One => match parts.next() {
                     Some(part) if !part.is_empty() && part != "." && part != ".." => {}
                     _ => return false,
--- /dev/null
+++ b/crates/plan/tests/findings.rs
@@ -0,0 +1,48 @@
+use postbarrow_plan::{Pattern, Plan};
+
+const BAD: &str = r#"{
+  "version": "",
+  "bsae": "v0",
+  "services": {
+    "catalogue": {"labels": {"service": "catalogue"}},
+    "ledger": {"labels": {}},
+    "photos": {"label": {"service": "photos"}}
+  },
+  "routes": [
+    {"path": "stock", "methods": ["GET", "get"], "kind": "lookup", "service": "catalogue"},
+    {"path": "/a/*/b", "methods": [], "kind": "twice", "service": "nobody"},
+    {"path": "/x", "methods": ["POST"], "kind": "lookup", "service": "ledger",
+     "limits": {"bodyBytes": -1, "deadlineMs": 0, "rate": 5}, "when": "path == "},
+    {"path": "/y/{id}", "methods": ["GET"], "kind": "lookup", "service": "ledger"},
+    {"path": "/y/{name}", "methods": ["GET"], "kind": "lookup", "service": "ledger"},
+    {"path": "/ready", "methods": ["GET"], "kind": "lookup", "service": "ledger"}
+  ]
+}"#;
+
+#[test]
+fn every_finding_is_told_with_its_place_and_line() {
+    let findings = Plan::read(BAD.as_bytes()).unwrap_err();
+    insta::assert_snapshot!(findings.to_string());
+}
+
+#[test]
+fn text_that_is_no_json_is_one_finding_with_its_line() {
+    let findings = Plan::read(b"{\n \"version\": \"v1\",\n oops\n}").unwrap_err();
+    assert_eq!(findings.findings.len(), 1);
+    assert_eq!(findings.findings[0].line, Some(3));
+    assert!(Plan::read(&[0xff, 0xfe]).is_err());
+    let doubled = "{\"version\":\"a\",\"version\":\"b\",\"services\":{},\"routes\":[]}";
+    assert!(Plan::read(doubled.as_bytes()).unwrap_err().to_string().contains("stands twice"));
+}
+
+#[test]
+fn patterns_match_raw_segments() {
+    let matches = |pattern: &str, path: &str| Pattern::read(pattern).unwrap().matches(path);
+    assert!(matches("/a/{x}/c", "/a/b%2F/c"));
+    assert!(!matches("/a/{x}", "/a/"));
+    assert!(!matches("/a/{x}", "/a/.."));
+    assert!(matches("/a/*", "/a/b/c"));
+    assert!(matches("/a/*", "/a/"));
+    assert!(!matches("/a/*", "/a"));
+    assert!(!matches("/a", "/a/"));
+}
