--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -1,4 +1,4 @@
-//! A replicated log without I/O: feed it inputs with the time, carry out its effects.
+#![doc = include_str!("../README.md")]
 
 mod election;
 mod log;
--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -1,4 +1,4 @@
-//! Questions to whoever is controller now: sent again until answered or out of time.
+#![doc = include_str!("../README.md")]
 
 use postbarrow_constants::coordination::ASK_AGAIN_MS;
 use postbarrow_messages::{Ask, Message, Response};
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,4 +1,4 @@
-//! Who watches whom on the ring, who relays to whom in the tree, and the news a relay keeps.
+#![doc = include_str!("../README.md")]
 
 mod relay;
 mod ring;
--- a/crates/reading/src/lib.rs
+++ b/crates/reading/src/lib.rs
@@ -1,4 +1,4 @@
-//! Reading an operator's JSON: every finding, with its place, reported together.
+#![doc = include_str!("../README.md")]
 
 mod fields;
 mod finding;
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -1,4 +1,4 @@
-//! CEL-like conditions of routes over `method`, `path` and `headers`, checked when read, bounded in cost.
+#![doc = include_str!("../README.md")]
 
 mod check;
 
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -23,6 +23,8 @@
     FreezeTarget,
     DrainTarget,
     PassAddress,
+    /// The controller itself, for measuring how long the others need.
+    KillController,
     Heal,
 }
 
@@ -98,6 +100,7 @@
             Fault::FreezeTarget => self.target_goes(|target| target.frozen = true),
             Fault::DrainTarget => self.drain(),
             Fault::PassAddress => self.pass_address(),
+            Fault::KillController => self.end_control(leader.unwrap_or(some), false),
             Fault::Heal => self.heal(),
         }
     }
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -1,4 +1,4 @@
-//! Whole clusters in one process: the programs' own protocol code on a seeded network, clock and disk.
+#![doc = include_str!("../README.md")]
 
 mod asks;
 mod book;
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -1,7 +1,7 @@
 //! Runs many seeds and prints each that fails, so that it can be run again alone.
 
 use gumdrop::Options;
-use postbarrow_simulation::Scenario;
+use postbarrow_simulation::{Fault, Scenario};
 use std::process::ExitCode;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
@@ -18,6 +18,8 @@
     faults: usize,
     #[options(help = "threads", default = "8", no_short)]
     threads: usize,
+    #[options(help = "kill the controller at the end, and measure from there", no_short)]
+    kill_controller: bool,
     #[options(help = "print what happened", no_short)]
     log: bool,
 }
@@ -37,6 +39,7 @@
                     let mut scenario = Scenario::everything(seed);
                     scenario.count = cli.faults;
                     scenario.log = cli.log;
+                    scenario.last = cli.kill_controller.then_some(Fault::KillController);
                     let outcome = scenario.run();
                     for line in &outcome.log {
                         println!("{seed}: {line}");
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -15,6 +15,8 @@
     pub dataNodes: usize,
     pub targets: usize,
     pub log: bool,
+    /// Brought about after all else is well, and recovered from without help.
+    pub last: Option<Fault>,
 }
 
 #[derive(Debug, Default)]
@@ -46,7 +48,7 @@
 impl Scenario {
     pub fn new(seed: u64, faults: &[Fault], count: usize) -> Self {
         let faults = faults.to_vec();
-        Scenario { seed, faults, count, dataNodes: 5, targets: 12, log: false }
+        Scenario { seed, faults, count, dataNodes: 5, targets: 12, log: false, last: None }
     }
 
     pub fn everything(seed: u64) -> Self {
@@ -75,6 +77,11 @@
         }
         world.quiet = true;
         world.bring(Fault::Heal);
+        if let Some(last) = self.last {
+            let settledUs = world.nowUs + 5_000_000;
+            world.run_until(settledUs);
+            world.bring(last);
+        }
         let mut outcome = Ended { recoveryMs: recover(&mut world), ..Ended::default() };
         world.askPauseUs = 0;
         let endUs = world.nowUs + 6_000_000;
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -1,4 +1,4 @@
-//! The control plane's disk: two checksummed slots written in turn, each with a short log behind it.
+#![doc = include_str!("../README.md")]
 
 mod disk;
 mod frame;
--- a/crates/transactions/src/lib.rs
+++ b/crates/transactions/src/lib.rs
@@ -1,4 +1,4 @@
-//! Transactions over a log of atomic batches, after KIP-868: Begin, records, End or Abort.
+#![doc = include_str!("../README.md")]
 
 mod batch;
 mod tail;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,4 +1,4 @@
-//! Links between processes over TCP, a clock that jumps can't move, and the slab of continuations.
+#![doc = include_str!("../README.md")]
 
 mod clock;
 mod link;
