Let one of two simultaneous candidates yield

Cause: the two that survive a controller often tried in the same 20 ms pulse, granted each other's pre-vote and split the vote, which cost a second round of 600 to 900 ms. Now a candidate grants only a longer log or a lower number, and a grant puts its own try off.

--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -62,11 +62,24 @@
     /// Whether it counts is for the candidate's members to say: a voter that has not heard yet that
     /// it joined must still vote, or the others may lack a majority for ever.
     pub(crate) fn on_pre_vote(&mut self, nowMs: u64, from: Member, ask: VoteAsk) {
-        let granted = ask.term > self.term && !self.bound_to_leader(nowMs) && self.up_to_date(&ask);
+        let granted = ask.term > self.term
+            && !self.bound_to_leader(nowMs)
+            && self.up_to_date(&ask)
+            && self.yields_to(&from, &ask);
+        if granted && self.role != Role::Leader {
+            self.set_role(Role::Follower);
+            self.electionDueMs = self.electionDueMs.max(nowMs + ELECTION_SPREAD_MS);
+        }
         let term = if granted { ask.term } else { self.term };
         self.send(from, Message::PreVoteResponse { term, granted });
     }
 
+    /// Of two that try at once, the one with the longer log goes on, or else the lower number.
+    fn yields_to(&self, other: &Member, ask: &VoteAsk) -> bool {
+        let longer = (ask.lastTerm, ask.last) > (self.log.last_term(), self.log.last());
+        !matches!(self.role, Role::PreCandidate | Role::Candidate) || longer || other.id < self.id
+    }
+
     pub(crate) fn on_pre_vote_response(
         &mut self,
         nowMs: u64,
