--- /dev/null
+++ b/crates/consensus/tests/votes.rs
@@ -0,0 +1,107 @@
+use postbarrow_consensus::*;
+use postbarrow_constants::consensus::{CONTROLLER_HOLD_MS, ELECTION_MIN_MS};
+use std::sync::Arc;
+
+fn member(id: u64) -> Member {
+    Member { id, address: format!("10.0.0.{id}:1").parse().unwrap() }
+}
+
+fn voter(nowMs: u64, hard: Hard) -> Consensus {
+    let members = (1..=3).map(member).collect();
+    let snapshot = Snapshot { index: 0, term: 0, members, state: Vec::new() };
+    let recovered = Recovered {
+        term: hard.term,
+        voted: hard.voted,
+        snapshot: Some(Arc::new(snapshot)),
+        entries: Vec::new(),
+    };
+    Consensus::new(1, recovered, 7, nowMs)
+}
+
+fn receive(node: &mut Consensus, nowMs: u64, from: u64, message: Message) -> Vec<Effect> {
+    node.handle(nowMs, Input::Receive { from: member(from), message })
+}
+
+fn ask(term: u64) -> VoteAsk {
+    VoteAsk { term, last: 0, lastTerm: 0 }
+}
+
+fn append(term: u64) -> Message {
+    let entries = Vec::new();
+    Message::Append(Append { term, prev: 0, prevTerm: 0, entries, commit: 0, sentMs: 5 })
+}
+
+fn granted(effects: &[Effect]) -> Option<bool> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Send { message: Message::PreVoteResponse { granted, .. }, .. }
+        | Effect::Send { message: Message::VoteResponse { granted, .. }, .. } => Some(*granted),
+        _ => None,
+    })
+}
+
+fn sync(node: &mut Consensus, nowMs: u64, effects: &[Effect]) -> Vec<Effect> {
+    let last = effects.iter().rev().find_map(|effect| match effect {
+        Effect::Write { sequence, .. } => Some(*sequence),
+        _ => None,
+    });
+    node.handle(nowMs, Input::Synced(last.expect("something is written")))
+}
+
+const START_MS: u64 = 10_000;
+
+#[test]
+fn who_heard_a_leader_promises_nothing_until_its_hold_is_over() {
+    let mut node = voter(START_MS, Hard::default());
+    let heardMs = START_MS + 5_000;
+    receive(&mut node, heardMs, 2, append(1));
+    let soonMs = heardMs + ELECTION_MIN_MS - 1;
+    assert!(soonMs > heardMs + CONTROLLER_HOLD_MS, "the hold ends for its holder first");
+    let early = receive(&mut node, soonMs, 3, Message::PreVote(ask(2)));
+    assert_eq!(granted(&early), Some(false));
+    let early = receive(&mut node, soonMs, 3, Message::Vote(ask(2)));
+    assert!(early.is_empty(), "not even the term is taken up");
+    let due = receive(&mut node, soonMs + 1, 3, Message::PreVote(ask(2)));
+    assert_eq!(granted(&due), Some(true));
+}
+
+#[test]
+fn who_just_started_may_have_promised_and_waits_as_long() {
+    let mut node = voter(START_MS, Hard::default());
+    let soonMs = START_MS + ELECTION_MIN_MS - 1;
+    assert!(receive(&mut node, soonMs, 3, Message::Vote(ask(2))).is_empty());
+    let due = receive(&mut node, soonMs + 1, 3, Message::Vote(ask(2)));
+    assert_eq!(granted(&due), None, "no word before the vote is on disk");
+    assert_eq!(granted(&sync(&mut node, soonMs + 2, &due)), Some(true));
+}
+
+#[test]
+fn a_vote_outlives_its_process() {
+    let nowMs = START_MS + ELECTION_MIN_MS;
+    let mut node = voter(START_MS, Hard { term: 4, voted: Some(2) });
+    let other = receive(&mut node, nowMs, 3, Message::Vote(ask(4)));
+    assert_eq!(granted(&other), Some(false), "it voted for 2 in this term");
+    let again = receive(&mut node, nowMs, 2, Message::Vote(ask(4)));
+    assert_eq!(granted(&sync(&mut node, nowMs, &again)), Some(true));
+}
+
+#[test]
+fn a_shorter_log_gets_no_vote() {
+    let mut node = voter(START_MS, Hard::default());
+    let entry = Entry { term: 1, index: 1, payload: Payload::Batch(vec![1]) };
+    let append =
+        Append { term: 1, prev: 0, prevTerm: 0, entries: vec![entry], commit: 1, sentMs: 5 };
+    let effects = receive(&mut node, START_MS, 2, Message::Append(append));
+    let said = |effects: &[Effect]| {
+        effects.iter().any(|effect| {
+            matches!(effect, Effect::Send { message: Message::AppendResponse(_), .. })
+        })
+    };
+    assert!(!said(&effects), "no yes before the sync");
+    let nowMs = START_MS + 2 * ELECTION_MIN_MS;
+    assert!(said(&sync(&mut node, START_MS, &effects)));
+    let shorter = receive(&mut node, nowMs, 3, Message::Vote(ask(5)));
+    assert_eq!(granted(&sync(&mut node, nowMs, &shorter)), Some(false));
+    let longer = VoteAsk { term: 6, last: 1, lastTerm: 1 };
+    let longer = receive(&mut node, nowMs, 3, Message::Vote(longer));
+    assert_eq!(granted(&sync(&mut node, nowMs, &longer)), Some(true));
+}
--- a/tools/fleet-runner/src/fleet.rs
+++ b/tools/fleet-runner/src/fleet.rs
@@ -214,8 +214,10 @@
             cli.storm,
             (spec.lookups / 2 + 96).min(600)
         );
+        let first = self.list.rows.values().find(|row| row.service == "catalogue");
+        let direct = first.map(|row| format!(" --direct {}", row.address)).unwrap_or_default();
         Command::new(format!("{}/load-generator", self.programs))
-            .args(text.split(' '))
+            .args((text + &direct).split(' '))
             .spawn()
             .map_err(|error| format!("load-generator: {error}"))
     }
--- a/tools/load-generator/src/client.rs
+++ b/tools/load-generator/src/client.rs
@@ -35,6 +35,24 @@
     pub retryAfter: bool,
 }
 
+impl Ask {
+    pub fn lookup(id: String, seed: u64) -> Ask {
+        Ask {
+            target: format!("/stock/{id}?q=%20{}", seed % 97),
+            id,
+            kind: Kind::Lookup,
+            method: "GET",
+            digest: hex(&Sha256::digest([])),
+            key: None,
+            told: Vec::new(),
+            status: 0,
+            tookMs: 0.0,
+            wrong: None,
+            retryAfter: false,
+        }
+    }
+}
+
 pub fn hex(bytes: &[u8]) -> String {
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
@@ -80,6 +98,7 @@
                     ask.wrong = ask.wrong.take().or_else(|| wrong(ask, &body, whole.as_deref()));
                     Told::Ran
                 }
+                (None, Ok(_)) if ask.status == 200 => Told::Ran,
                 (Some("ran"), _) => Told::Unknown,
                 (Some("not-run"), _) => Told::NotRun,
                 (Some("pending"), _) => Told::Pending,
--- a/tools/load-generator/src/main.rs
+++ b/tools/load-generator/src/main.rs
@@ -51,8 +51,12 @@
         no_short
     )]
     allowance: f64,
-    #[options(help = "every ask and run that a violation names, into this file", no_short)]
-    trace: Option<String>,
+    #[options(
+        help = "a stand-in target, asked directly ten times a second to compare",
+        meta = "IP:PORT",
+        no_short
+    )]
+    direct: Option<String>,
 }
 
 fn main() -> ExitCode {
@@ -74,7 +78,7 @@
     let asked = schedule::run(&cli, &nodes);
     thread::sleep(std::time::Duration::from_secs(1));
     ended.store(true, Relaxed);
-    let told = watches.join().unwrap_or_default();
+    let watched = watches.join().unwrap_or_default();
     let _ = watching.join();
     let runs = match book::read_runs(&cli.records) {
         Ok(runs) => runs,
@@ -84,9 +88,10 @@
         }
     };
     let budget = book::Budget { seconds: cli.seconds as f64, allowance: cli.allowance };
-    let mut violations = book::check(&asked.asks, &runs, &budget);
+    let told: Vec<_> = asked.asks.iter().chain(&asked.direct).cloned().collect();
+    let mut violations = book::check(&told, &runs, &budget);
     violations.extend(calls::check(&asked.calls));
-    violations.extend(watch::check(&told, &asked.calls));
+    violations.extend(watch::check(&watched, &asked.calls));
     report::print(&asked, &runs, &violations);
     if violations.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/tools/load-generator/src/report.rs
+++ b/tools/load-generator/src/report.rs
@@ -25,6 +25,10 @@
     let sound = asked.calls.iter().filter(|done| done.sound).count();
     let took: Vec<f64> = asked.calls.iter().map(|done| done.tookMs()).collect();
     println!("Coordination: {} calls, {sound} answered; {}", asked.calls.len(), percentiles(took));
+    let direct: Vec<f64> = asked.direct.iter().map(|ask| ask.tookMs).collect();
+    if !direct.is_empty() {
+        println!("Direct: {} lookups; {}", direct.len(), percentiles(direct));
+    }
     println!("{} violations", violations.len());
     for violation in violations.iter().take(SHOWN) {
         println!("  {violation}");
--- a/tools/load-generator/src/schedule.rs
+++ b/tools/load-generator/src/schedule.rs
@@ -13,15 +13,20 @@
 pub struct Asked {
     pub asks: Vec<Ask>,
     pub calls: Vec<Done>,
+    pub direct: Vec<Ask>,
     pub seconds: f64,
 }
 
 #[derive(Clone, Copy)]
 enum Work {
     Ask(Kind),
+    /// A lookup past the gateway, to compare.
+    Direct,
     Call,
 }
 
+const DIRECT_PER_S: f64 = 10.0;
+
 /// An open loop: each ask is due at its time, whether or not earlier ones have ended.
 struct Plan {
     due: Vec<(f64, Work)>,
@@ -41,6 +46,7 @@
         (cli.postings, Work::Ask(Kind::Posting)),
         (cli.uploads, Work::Ask(Kind::Upload)),
         (cli.calls, Work::Call),
+        (if cli.direct.is_some() { DIRECT_PER_S } else { 0.0 }, Work::Direct),
     ];
     let mut due = Vec::new();
     for (at, (rate, work)) in rates.into_iter().enumerate() {
@@ -76,12 +82,14 @@
                         Work::Ask(kind) => {
                             own.asks.push(one(&cli, &nodes, &agent, *kind, at, seed));
                         }
+                        Work::Direct => own.direct.extend(direct(&cli, &agent, at)),
                         Work::Call => calls::one(&nodes, &agent, &shared, seed, &mut own.calls),
                     }
                 }
                 if let Ok(mut all) = asked.lock() {
                     all.asks.append(&mut own.asks);
                     all.calls.append(&mut own.calls);
+                    all.direct.append(&mut own.direct);
                 }
             })
         })
@@ -94,6 +102,17 @@
     all
 }
 
+/// The same lookup, sent straight to a target by the same client.
+fn direct(cli: &Cli, agent: &Agent, at: u64) -> Option<Ask> {
+    let address = cli.direct.as_deref()?;
+    let id = format!("{:x}-direct-{at}", cli.seed);
+    let mut ask = Ask::lookup(id, at);
+    let start = Instant::now();
+    go(agent, address, &mut ask, &[]);
+    ask.tookMs = start.elapsed().as_secs_f64() * 1_000.0;
+    Some(ask)
+}
+
 fn one(cli: &Cli, nodes: &Nodes, agent: &Agent, kind: Kind, at: u64, seed: u64) -> Ask {
     let id = format!("{:x}-{at}", cli.seed);
     let body = match kind {
