--- a/crates/simulation/src/control.rs
+++ b/crates/simulation/src/control.rs
@@ -38,7 +38,10 @@
         let seed = self.random.draw();
         let id = self.random.draw().max(1);
         let nowMs = self.local_ms(Who::Control(at));
-        let seeds = self.seeds.clone();
+        let mut seeds = self.seeds.clone();
+        if !seeds.contains(&self.control[at].address) {
+            seeds[2] = self.data[0].address;
+        }
         let machine = &mut self.control[at];
         let opened = open(machine.disk.clone()).expect("the simulated disk opens");
         let (storage, recovered) = match opened {
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -25,6 +25,9 @@
     PassAddress,
     /// The controller itself, for measuring how long the others need.
     KillController,
+    /// This core machine's disk is lost and it comes back empty at a new address.
+    SwapCore(usize),
+    RestartData(usize),
     Heal,
 }
 
@@ -101,6 +104,11 @@
             Fault::DrainTarget => self.drain(),
             Fault::PassAddress => self.pass_address(),
             Fault::KillController => self.end_control(leader.unwrap_or(some), false),
+            Fault::SwapCore(at) => self.empty_disk(at, true),
+            Fault::RestartData(at) => {
+                self.end_data(at);
+                self.start_data(at);
+            }
             Fault::Heal => self.heal(),
         }
     }
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -17,6 +17,8 @@
     pub log: bool,
     /// Brought about after all else is well, and recovered from without help.
     pub last: Option<Fault>,
+    /// Before any drawn fault: each so many milliseconds after the one before.
+    pub script: Vec<(u64, Fault)>,
 }
 
 #[derive(Debug, Default)]
@@ -40,6 +42,7 @@
     pub extra: (usize, usize),
     pub longestLeaveMs: u64,
     pub digest: u64,
+    pub members: Vec<String>,
     pub log: Vec<String>,
 }
 
@@ -48,7 +51,16 @@
 impl Scenario {
     pub fn new(seed: u64, faults: &[Fault], count: usize) -> Self {
         let faults = faults.to_vec();
-        Scenario { seed, faults, count, dataNodes: 5, targets: 12, log: false, last: None }
+        Scenario {
+            seed,
+            faults,
+            count,
+            dataNodes: 5,
+            targets: 12,
+            log: false,
+            last: None,
+            script: Vec::new(),
+        }
     }
 
     pub fn everything(seed: u64) -> Self {
@@ -64,6 +76,11 @@
         world.run_until(6_000_000);
         let formed = world.is_well();
         let mut atUs = 6_000_000;
+        for (pauseMs, fault) in &self.script {
+            atUs += pauseMs * 1_000;
+            world.run_until(atUs);
+            world.after(0, Event::Fault(*fault));
+        }
         for _ in 0..self.count {
             let fault = self.faults[random.below(self.faults.len() as u64) as usize];
             world.after(0, Event::Fault(fault));
@@ -150,6 +167,13 @@
     outcome.events = world.callers.told.len();
     outcome.extra = (lookups, extra);
     outcome.longestLeaveMs = world.book.longestLeaveUs / 1_000;
+    let leader = world
+        .control
+        .iter()
+        .find_map(|machine| machine.node.as_ref().filter(|node| node.is_leading()));
+    outcome.members = leader.map_or_else(Vec::new, |node| {
+        node.consensus().members().iter().map(|member| member.address.to_string()).collect()
+    });
     outcome.digest = world.digest;
     outcome.log = world.log.take().unwrap_or_default();
 }
--- a/crates/simulation/tests/failures.rs
+++ b/crates/simulation/tests/failures.rs
@@ -52,6 +52,45 @@
     assert_eq!(NAMED, ALL);
 }
 
+#[test]
+fn all_three_seed_machines_are_swapped_and_old_seeds_still_lead_in() {
+    for seed in 1..=3 {
+        let mut scenario = Scenario::new(seed, &ALL, 0);
+        scenario.script = vec![
+            (500, Fault::SwapCore(0)),
+            (9_000, Fault::SwapCore(1)),
+            (9_000, Fault::SwapCore(2)),
+            (9_000, Fault::RestartData(3)),
+        ];
+        let ended = check("seeds swapped", &scenario);
+        assert_eq!(ended.members.len(), 3, "seed {seed}: {:?}", ended.members);
+        let old = ["10.1.0.1:1", "10.1.0.2:1", "10.1.0.3:1"];
+        let left = ended.members.iter().filter(|member| old.contains(&member.as_str()));
+        assert_eq!(left.count(), 0, "seed {seed}: {:?}", ended.members);
+    }
+}
+
+#[test]
+fn no_promise_rests_on_a_clock_that_can_be_set() {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let mut folders = vec![root.join("crates"), root.join("programs")];
+    let mut read = 0;
+    while let Some(folder) = folders.pop() {
+        for entry in std::fs::read_dir(folder).unwrap() {
+            let path = entry.unwrap().path();
+            if path.is_dir() {
+                folders.push(path);
+            } else if path.extension().is_some_and(|ending| ending == "rs") {
+                let text = std::fs::read_to_string(&path).unwrap();
+                read += 1;
+                let settable = ["System", "Time"].concat();
+                assert!(!text.contains(&settable), "{}", path.display());
+            }
+        }
+    }
+    assert!(read > 80, "{read} files were read");
+}
+
 #[test]
 fn all_faults_together_in_drawn_order() {
     let mut told = [0; 4];
--- a/programs/data-plane/src/tests/asks.rs
+++ b/programs/data-plane/src/tests/asks.rs
@@ -132,3 +132,35 @@
     assert_eq!(rig.settled(), [Settlement::Unsent]);
     assert!(told.contains("not-run"), "granted and settled unsent, so it is proved: {told}");
 }
+
+#[test]
+fn half_open_and_idle_clients_do_not_keep_others_out() {
+    let (found, rig) = one(vec![Script::Whole("x")]);
+    let mut held = Vec::new();
+    for at in 0..300 {
+        let mut stream = std::net::TcpStream::connect(rig.http).unwrap();
+        if at % 2 == 0 {
+            std::io::Write::write_all(&mut stream, b"POST /post/1 HTTP/1.1\r\nHo").unwrap();
+        }
+        held.push(stream);
+    }
+    assert!(rig.get("/look/1").starts_with("HTTP/1.1 200"));
+    assert!(rig.post("", "a").starts_with("HTTP/1.1 200"));
+    assert_eq!((found.runs(), held.len()), (2, 300));
+}
+
+#[test]
+fn a_full_node_sheds_at_once_and_tells_when_to_come_back() {
+    let (found, rig) = one(vec![Script::Whole("x")]);
+    rig.shared.asks.store(postbarrow_constants::traffic::ASKS, Relaxed);
+    let shed = rig.post("", "a");
+    assert!(shed.starts_with("HTTP/1.1 503") && shed.contains("Retry-After: 1"), "{shed}");
+    assert!(shed.contains("Postbarrow-Outcome: not-run"), "{shed}");
+    rig.shared.asks.store(0, Relaxed);
+    rig.shared.downstreams.store(postbarrow_constants::traffic::DOWNSTREAMS, Relaxed);
+    let mut stream = std::net::TcpStream::connect(rig.http).unwrap();
+    let mut told = String::new();
+    let _ = std::io::Read::read_to_string(&mut stream, &mut told);
+    assert!(told.starts_with("HTTP/1.1 503") && told.contains("Retry-After: 1"), "{told}");
+    assert_eq!(found.runs(), 0);
+}
