--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -77,10 +77,14 @@
             Fault::FreezeControl => self.freeze(Who::Control(control)),
             Fault::CutControl => self.isolate(control),
             Fault::SplitCore => {
-                let (one, other) =
-                    (self.control[some].address, self.control[(some + 1) % 3].address);
-                self.net.cut(one.ip(), other.ip());
-                self.net.cut(other.ip(), one.ip());
+                let one = self.control[control].address.ip();
+                let others = (0..3).filter(|other| *other != control);
+                for other in
+                    others.map(|other| self.control[other].address.ip()).collect::<Vec<_>>()
+                {
+                    self.net.cut(one, other);
+                    self.net.cut(other, one);
+                }
             }
             Fault::OneWayCut => {
                 let (one, other) =
