--- a/crates/startup/src/lib.rs
+++ b/crates/startup/src/lib.rs
@@ -2,8 +2,11 @@
 
 mod logs;
 mod place;
+mod run;
 mod stop;
 
-pub use logs::start_logs;
 pub use place::{Flags, Part, Startup};
-pub use stop::{stop_asked, watch_signals};
+pub use run::checked;
+
+use logs::start_logs;
+use stop::{stop_asked, watch_signals};
--- a/programs/control-plane/src/main.rs
+++ b/programs/control-plane/src/main.rs
@@ -1,10 +1,8 @@
 use gumdrop::Options;
-use log::error;
 use postbarrow_control_plane::{ControlPlane, client};
 use postbarrow_plan::Plan;
-use postbarrow_startup::{Flags, Part, Startup, start_logs, stop_asked, watch_signals};
+use postbarrow_startup::{Flags, Part, Startup, checked};
 use std::process::ExitCode;
-use std::time::Duration;
 
 /// Keeps the replicated log; its commands are the operator's.
 #[derive(Debug, Options)]
@@ -98,7 +96,9 @@
             eprintln!("a command is needed; --help lists them");
             ExitCode::from(2)
         }
-        Some(Command::Run(place)) => with_startup(place, run),
+        Some(Command::Run(place)) => {
+            with_startup(place, |startup| startup.serve(ControlPlane::start, ControlPlane::stop))
+        }
         Some(Command::Check(place)) => with_startup(place, |_| {
             println!("the settings are sound");
             ExitCode::SUCCESS
@@ -113,13 +113,6 @@
 }
 
 fn with_startup(place: Place, then: impl FnOnce(&Startup) -> ExitCode) -> ExitCode {
-    let file = match place.startup.as_ref().map(std::fs::read_to_string).transpose() {
-        Ok(file) => file.unwrap_or_else(|| "{}".into()),
-        Err(error) => {
-            eprintln!("{}: {error}", place.startup.unwrap_or_default());
-            return ExitCode::from(2);
-        }
-    };
     let flags = Flags {
         name: place.name,
         zone: place.zone,
@@ -131,34 +124,7 @@
         log: place.log,
         level: place.level,
     };
-    match Startup::read(Part::ControlPlane, &file, &flags) {
-        Ok(startup) => then(&startup),
-        Err(findings) => {
-            let name = place.startup.as_deref().unwrap_or("flags");
-            eprintln!("{:?}", findings.report(name, &file));
-            ExitCode::from(2)
-        }
-    }
-}
-
-fn run(startup: &Startup) -> ExitCode {
-    if let Err(error) = start_logs(startup) {
-        eprintln!("logs: {error}");
-        return ExitCode::from(2);
-    }
-    watch_signals();
-    let plane = match ControlPlane::start(startup) {
-        Ok(plane) => plane,
-        Err(error) => {
-            error!("control: does not start: {error}");
-            return ExitCode::FAILURE;
-        }
-    };
-    while !stop_asked() {
-        std::thread::sleep(Duration::from_millis(50));
-    }
-    plane.stop();
-    ExitCode::SUCCESS
+    checked(Startup::load(Part::ControlPlane, place.startup.as_deref(), &flags), then)
 }
 
 /// The plan is checked here too, so that its findings are shown in its own text.
--- a/programs/data-plane/src/main.rs
+++ b/programs/data-plane/src/main.rs
@@ -1,9 +1,7 @@
 use gumdrop::Options;
-use log::error;
 use postbarrow_data_plane::DataPlane;
-use postbarrow_startup::{Flags, Part, Startup, start_logs, stop_asked, watch_signals};
+use postbarrow_startup::{Flags, Part, Startup, checked};
 use std::process::ExitCode;
-use std::time::Duration;
 
 /// Takes asks over HTTP and passes each to a target that the plan in force allows.
 #[derive(Debug, Options)]
@@ -42,13 +40,6 @@
         println!("postbarrow-data-plane {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let file = match cli.startup.as_ref().map(std::fs::read_to_string).transpose() {
-        Ok(file) => file.unwrap_or_else(|| "{}".into()),
-        Err(error) => {
-            eprintln!("{}: {error}", cli.startup.unwrap_or_default());
-            return ExitCode::from(2);
-        }
-    };
     let flags = Flags {
         name: cli.name,
         zone: cli.zone,
@@ -59,37 +50,12 @@
         level: cli.level,
         ..Flags::default()
     };
-    let startup = match Startup::read(Part::DataPlane, &file, &flags) {
-        Ok(startup) => startup,
-        Err(findings) => {
-            let name = cli.startup.as_deref().unwrap_or("flags");
-            eprintln!("{:?}", findings.report(name, &file));
-            return ExitCode::from(2);
+    let loaded = Startup::load(Part::DataPlane, cli.startup.as_deref(), &flags);
+    checked(loaded, |startup| {
+        if cli.check {
+            println!("the settings are sound");
+            return ExitCode::SUCCESS;
         }
-    };
-    if cli.check {
-        println!("the settings are sound");
-        return ExitCode::SUCCESS;
-    }
-    run(&startup)
-}
-
-fn run(startup: &Startup) -> ExitCode {
-    if let Err(error) = start_logs(startup) {
-        eprintln!("logs: {error}");
-        return ExitCode::from(2);
-    }
-    watch_signals();
-    let plane = match DataPlane::start(startup) {
-        Ok(plane) => plane,
-        Err(error) => {
-            error!("node: does not start: {error}");
-            return ExitCode::FAILURE;
-        }
-    };
-    while !stop_asked() {
-        std::thread::sleep(Duration::from_millis(50));
-    }
-    plane.stop();
-    ExitCode::SUCCESS
+        startup.serve(DataPlane::start, DataPlane::stop)
+    })
 }
--- a/tools/fleet-runner/src/faults.rs
+++ b/tools/fleet-runner/src/faults.rs
@@ -1,7 +1,8 @@
 use crate::Cli;
 use crate::fleet::Fleet;
 use crate::plans::{change_plan, race};
-use crate::spec::{ZONES, plan};
+use crate::spec::{Spec, plan};
+use crate::targets::{leave, pass_address, some_target};
 use std::thread::sleep;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -23,6 +24,9 @@
     FreezeControl,
     RestartControl,
     EmptyControl,
+    /// In turn, by SIGTERM, each ready again before the next.
+    RollData(usize),
+    RollControl(usize),
 }
 
 const ALL: [Fault; 16] = [
@@ -75,6 +79,16 @@
             (0.60, Fault::KillData),
             (0.75, Fault::Plan),
         ]),
+        "rolling" => {
+            let nodes = Spec::of(cli)?.dataNodes;
+            let all: Vec<Fault> = (0..nodes)
+                .map(Fault::RollData)
+                .chain((0..3).map(Fault::RollControl))
+                .chain([Fault::Plan, Fault::BigPlan])
+                .collect();
+            let share = |at: usize| 0.02 + 0.9 * at as f64 / all.len() as f64;
+            Ok(all.iter().enumerate().map(|(at, fault)| (share(at), *fault)).collect())
+        }
         "all" => {
             let mut bag: Vec<Fault> = Vec::new();
             let count = (cli.seconds / 7).max(1);
@@ -87,7 +101,7 @@
             });
             Ok(rows.collect())
         }
-        other => Err(format!("{other}: none, plain or all")),
+        other => Err(format!("{other}: none, plain, rolling or all")),
     }
 }
 
@@ -147,6 +161,11 @@
             again_data(fleet, &some, libc::SIGKILL, 500)
         }
         Fault::RestartData => again_data(fleet, &[seed as usize], libc::SIGTERM, 0),
+        Fault::RollData(at) => {
+            again_data(fleet, &[at], libc::SIGTERM, 0)?;
+            fleet.wait_ready(10_000).map(|_| ())
+        }
+        Fault::RollControl(at) => again_control(fleet, &[at], libc::SIGTERM),
         Fault::FreezeData => {
             let at = seed as usize % fleet.data.len();
             fleet.data[at].signal(libc::SIGSTOP);
@@ -189,44 +208,6 @@
     fleet.control.iter().position(|process| named(process.words())).unwrap_or(0)
 }
 
-fn some_target(fleet: &Fleet, seed: u64, service: Option<&str>) -> Result<String, String> {
-    let rows: Vec<_> = fleet
-        .list
-        .rows
-        .values()
-        .filter(|row| !row.draining && service.is_none_or(|service| row.service == service))
-        .collect();
-    let row = rows.get(seed as usize % rows.len().max(1));
-    row.map(|row| row.instance.clone()).ok_or_else(|| "no target is left".into())
-}
-
-/// The target goes, off the list too, and another of its service comes.
-fn leave(fleet: &mut Fleet, instance: &str) -> Result<(), String> {
-    if let Some(target) = fleet.targets.get_mut(instance) {
-        target.kill();
-    }
-    let Some(row) = fleet.list.rows.remove(instance) else { return Ok(()) };
-    fleet.list.write()?;
-    fleet.add_target(&row.service, &row.zone, None).map(|_| ())
-}
-
-/// A ledger goes and a photo store takes its address before the list knows.
-fn pass_address(fleet: &mut Fleet, seed: u64) -> Result<(), String> {
-    let instance = some_target(fleet, seed, Some("ledger"))?;
-    let Some(row) = fleet.list.rows.get(&instance).cloned() else { return Ok(()) };
-    if let Some(target) = fleet.targets.get_mut(&instance) {
-        target.kill();
-    }
-    let stranger = fleet.add_target("photos", &row.zone, Some(row.address.clone()))?;
-    let kept = fleet.list.rows.remove(&stranger);
-    fleet.list.write()?;
-    sleep(Duration::from_millis(1_500));
-    fleet.list.rows.remove(&instance);
-    fleet.list.rows.extend(kept.map(|row| (stranger, row)));
-    fleet.list.write()?;
-    fleet.add_target("ledger", ZONES[seed as usize % 3], None).map(|_| ())
-}
-
 fn again_data(fleet: &mut Fleet, which: &[usize], signal: i32, pauseMs: u64) -> Result<(), String> {
     let count = fleet.data.len();
     for at in which {
--- a/tools/fleet-runner/src/main.rs
+++ b/tools/fleet-runner/src/main.rs
@@ -8,6 +8,7 @@
 mod process;
 mod ready;
 mod spec;
+mod targets;
 
 use gumdrop::Options;
 use std::process::ExitCode;
@@ -23,7 +24,7 @@
     scale: usize,
     #[options(help = "seconds of load", default = "30", no_short)]
     seconds: u64,
-    #[options(help = "none, plain or all", default = "plain", no_short)]
+    #[options(help = "none, plain, rolling or all", default = "plain", no_short)]
     faults: String,
     #[options(help = "seed of the faults and the load", default = "1", no_short)]
     seed: u64,
