--- a/crates/constants/src/consensus.rs
+++ b/crates/constants/src/consensus.rs
@@ -16,8 +16,10 @@
 pub const SNAPSHOT_CHUNK_BYTES: usize = 512 * 1024;
 /// Resend a snapshot chunk that was not answered in this time.
 pub const SNAPSHOT_RETRY_MS: u64 = 500;
-/// Log bytes between two slot writes; a start reads at most this much beyond a slot.
-pub const LOG_BYTES: u64 = 8 * 1024 * 1024;
+/// Log bytes between two slot writes: minutes of tickets, and a start reads at most twice this.
+pub const LOG_BYTES: u64 = 32 * 1024 * 1024;
+/// Members add up to as much again, in so many steps, so that a majority is not writing slots at once.
+pub const LOG_SPREAD: u64 = 8;
 /// Largest record in the log file; a larger length is damage.
 pub const LOG_RECORD_BYTES: usize = 64 * 1024 * 1024;
 /// Entries kept behind a snapshot, so that a slow follower needs no snapshot.
--- a/crates/controller/src/commit.rs
+++ b/crates/controller/src/commit.rs
@@ -1,14 +1,14 @@
-use crate::ControlNode;
+use crate::{ControlNode, Effect};
 use postbarrow_consensus::{Entry, Payload, Snapshot};
-use postbarrow_constants::consensus::LOG_BYTES;
 use postbarrow_membership::NewsEntry;
 use postbarrow_state::{Record, State};
 use postbarrow_transactions::{Line, Seen, Tail, decode, encode};
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Serialize, Deserialize)]
 struct Kept {
-    state: State,
+    state: Arc<State>,
     newsOffset: u64,
 }
 
@@ -64,31 +64,49 @@
 
     pub(crate) fn restore(&mut self, snapshot: &Snapshot) {
         let kept = if snapshot.state.is_empty() {
-            Kept { state: State::default(), newsOffset: 0 }
+            Kept { state: Arc::default(), newsOffset: 0 }
         } else {
             rmp_serde::from_slice(&snapshot.state)
                 .unwrap_or_else(|error| panic!("snapshot {}: {error}", snapshot.index))
         };
-        self.tail = Tail::new(snapshot.index, kept.state);
+        self.tail = Tail::new(snapshot.index, kept.state.as_ref().clone());
         self.newsOffset = kept.newsOffset;
         self.imageOffset = kept.newsOffset;
         self.relay.clear();
     }
 
-    /// Between transactions only: a snapshot carries no markers.
-    pub(crate) fn compact(&mut self, nowMs: u64) {
-        if self.logBytes < LOG_BYTES || self.tail.is_open() {
+    /// Between transactions only: a snapshot carries no markers. It is encoded elsewhere, since
+    /// that takes longer than a hold can spare; each member's own bound keeps them from all
+    /// writing their slots at once.
+    pub(crate) fn compact(&mut self) {
+        if self.logBytes < self.logBoundBytes || self.tail.is_open() {
             return;
         }
         self.logBytes = 0;
         let index = self.tail.offset().min(self.consensus.commit());
-        let kept = Kept { state: self.tail.image().as_ref().clone(), newsOffset: self.newsOffset };
-        let state = rmp_serde::to_vec(&kept).expect("a state encodes into memory");
+        let kept = Kept { state: self.tail.image().clone(), newsOffset: self.newsOffset };
+        self.effects.push(Effect::Encode(Snap { index, kept }));
+    }
+
+    pub(crate) fn on_encoded(&mut self, nowMs: u64, index: u64, state: Vec<u8>) {
         self.say(format!("snapshot at {index}, {} bytes", state.len()));
         self.log(nowMs, postbarrow_consensus::Input::Compact { index, state });
     }
 }
 
+/// A committed state on its way to a slot.
+#[derive(Debug)]
+pub struct Snap {
+    pub index: u64,
+    kept: Kept,
+}
+
+impl Snap {
+    pub fn encode(&self) -> Vec<u8> {
+        rmp_serde::to_vec(&self.kept).expect("a state encodes into memory")
+    }
+}
+
 fn is_news(line: &Line<Record>) -> bool {
     match line {
         Line::Data(record) => record.is_news(),
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -16,6 +16,7 @@
 mod tickets;
 mod watches;
 
+pub use commit::Snap;
 pub use page::{Listed, read_page};
 
 use greet::Book;
@@ -23,6 +24,7 @@
 use postbarrow_consensus::{
     self as consensus, Consensus, Effect as LogEffect, Member, Recovered, Role, Write,
 };
+use postbarrow_constants::consensus::{LOG_BYTES, LOG_SPREAD};
 use postbarrow_membership::{Deliver, Relay};
 use postbarrow_messages::{Envelope, ImageFrame, Message, Response};
 use postbarrow_state::State;
@@ -34,6 +36,11 @@
     Receive(Envelope),
     Synced(u64),
     Page(PageResult),
+    /// A snapshot that was asked for by `Effect::Encode`.
+    Encoded {
+        index: u64,
+        state: Vec<u8>,
+    },
 }
 
 /// What became of one fetch from the platform's list.
@@ -53,6 +60,7 @@
     Send { to: SocketAddr, message: Message },
     Write { sequence: u64, write: Write },
     Fetch { walk: u64, cursor: Option<String> },
+    Encode(Snap),
     Say(String),
 }
 
@@ -72,6 +80,7 @@
     lead: Option<Lead>,
     book: Book,
     logBytes: u64,
+    logBoundBytes: u64,
     lastPulseMs: u64,
     effects: Vec<Effect>,
 }
@@ -95,6 +104,7 @@
             lead: None,
             book: Book::new(seeds, own.address),
             logBytes: 0,
+            logBoundBytes: LOG_BYTES + own.id % LOG_SPREAD * (LOG_BYTES / LOG_SPREAD),
             lastPulseMs: nowMs,
             effects: Vec::new(),
         };
@@ -104,12 +114,19 @@
         node
     }
 
+    /// Snapshots after other than the usual bytes of log; for tests that must see many.
+    pub fn with_log_bound(mut self, sizeBytes: u64) -> Self {
+        self.logBoundBytes = sizeBytes;
+        self
+    }
+
     pub fn handle(&mut self, nowMs: u64, input: Input) -> Vec<Effect> {
         match input {
             Input::Pulse => self.pulse(nowMs),
             Input::Receive(envelope) => self.receive(nowMs, envelope),
             Input::Synced(sequence) => self.log(nowMs, consensus::Input::Synced(sequence)),
             Input::Page(result) => self.on_page(nowMs, result),
+            Input::Encoded { index, state } => self.on_encoded(nowMs, index, state),
         }
         self.deliver(nowMs);
         std::mem::take(&mut self.effects)
@@ -147,7 +164,7 @@
         self.log(nowMs, consensus::Input::Pulse);
         self.greet_pulse(nowMs);
         self.lead_pulse(nowMs, gapMs);
-        self.compact(nowMs);
+        self.compact();
     }
 
     /// Runs the log and carries out what it asks for. Writes and sends go out in the log's own
--- a/crates/controller/tests/bench/mod.rs
+++ b/crates/controller/tests/bench/mod.rs
@@ -88,7 +88,7 @@
                 }
                 Effect::Send { message, .. } => self.sent.push(message),
                 Effect::Fetch { walk, cursor } => self.fetch = Some((walk, cursor)),
-                Effect::Say(_) => {}
+                Effect::Encode(_) | Effect::Say(_) => {}
             }
         }
     }
--- a/crates/simulation/src/control.rs
+++ b/crates/simulation/src/control.rs
@@ -6,6 +6,9 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+/// Small, so that every run writes slots and a late member needs a snapshot.
+const LOG_BOUND_BYTES: u64 = 96 * 1024;
+
 /// One control machine: its disk stays, its process comes and goes.
 pub struct ControlMachine {
     pub address: SocketAddr,
@@ -56,7 +59,8 @@
         machine.storage = Some(storage);
         machine.writes.clear();
         machine.syncing = false;
-        machine.node = Some(ControlNode::new(own, recovered, &seeds, seed, nowMs));
+        let node = ControlNode::new(own, recovered, &seeds, seed, nowMs);
+        machine.node = Some(node.with_log_bound(LOG_BOUND_BYTES));
         let life = machine.life;
         self.after(0, Event::Pulse { who: Who::Control(at), life });
     }
@@ -99,6 +103,10 @@
                     }
                 }
                 Effect::Fetch { walk, cursor } => self.fetch(at, walk, cursor),
+                Effect::Encode(snap) => {
+                    let (index, state) = (snap.index, snap.encode());
+                    self.after(100_000, Event::Encoded { at, life, index, state });
+                }
                 Effect::Say(text) => self.say(Who::Control(at), &text),
             }
         }
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -43,6 +43,7 @@
     pub longestLeaveMs: u64,
     pub digest: u64,
     pub members: Vec<String>,
+    pub snapshots: usize,
     pub log: Vec<String>,
 }
 
@@ -174,6 +175,7 @@
     outcome.members = leader.map_or_else(Vec::new, |node| {
         node.consensus().members().iter().map(|member| member.address.to_string()).collect()
     });
+    outcome.snapshots = world.snapshots;
     outcome.digest = world.digest;
     outcome.log = world.log.take().unwrap_or_default();
 }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -26,6 +26,7 @@
     Deliver { to: SocketAddr, envelope: Envelope },
     Synced { at: usize, life: u64 },
     Page { at: usize, life: u64, result: PageResult },
+    Encoded { at: usize, life: u64, index: u64, state: Vec<u8> },
     Arrive { ask: u64, data: usize, life: u64 },
     Go { ask: u64, data: usize, life: u64, event: GoEvent },
     Run { ask: u64, data: usize, life: u64, instance: String },
@@ -57,6 +58,7 @@
     pub quiet: bool,
     pub log: Option<Vec<String>>,
     pub digest: u64,
+    pub snapshots: usize,
     queue: BTreeMap<(u64, u64), Event>,
     order: u64,
 }
@@ -86,6 +88,7 @@
             quiet: false,
             log: None,
             digest: 0,
+            snapshots: 0,
             queue: BTreeMap::new(),
             order: 0,
         };
@@ -167,7 +170,9 @@
                 let data = || self.data.iter().position(|machine| machine.address == *to);
                 control.map(Who::Control).or_else(|| data().map(Who::Data))
             }
-            Event::Synced { at, .. } | Event::Page { at, .. } => Some(Who::Control(*at)),
+            Event::Synced { at, .. } | Event::Page { at, .. } | Event::Encoded { at, .. } => {
+                Some(Who::Control(*at))
+            }
             Event::Arrive { data, .. } | Event::Go { data, .. } | Event::Probe { data, .. } => {
                 Some(Who::Data(*data))
             }
@@ -192,7 +197,11 @@
             Event::Page { at, life, result } if self.control[at].life == life => {
                 self.control_input(at, ControlInput::Page(result))
             }
-            Event::Synced { .. } | Event::Page { .. } => {}
+            Event::Encoded { at, life, index, state } if self.control[at].life == life => {
+                self.snapshots += 1;
+                self.control_input(at, ControlInput::Encoded { index, state })
+            }
+            Event::Synced { .. } | Event::Page { .. } | Event::Encoded { .. } => {}
             Event::Arrive { ask, data, life } => self.ask_arrives(ask, data, life),
             Event::Go { ask, data, life, event } => {
                 if self.data[data].life == life {
--- a/crates/simulation/tests/failures.rs
+++ b/crates/simulation/tests/failures.rs
@@ -7,6 +7,7 @@
     let seed = scenario.seed;
     assert!(ended.violations.is_empty(), "{name}, seed {seed}: {:#?}", ended.violations);
     assert!(ended.told.ran > 100, "{name}, seed {seed}: hardly anything ran");
+    assert!(ended.snapshots > 2, "{name}, seed {seed}: no slot was written");
     assert!(ended.passes > 100 && ended.calls > 50, "{name}, seed {seed}: hardly tried");
     ended
 }
--- a/programs/control-plane/src/core.rs
+++ b/programs/control-plane/src/core.rs
@@ -1,13 +1,14 @@
 use crate::disk::Writes;
 use log::{info, warn};
 use postbarrow_constants::consensus::PULSE_MS;
-use postbarrow_controller::{ControlNode, Effect, Input, PageResult};
+use postbarrow_controller::{ControlNode, Effect, Input, PageResult, Snap};
 use postbarrow_desk::{Desk, Effect as DeskEffect};
 use postbarrow_messages::{Ask, Envelope, Message, Response};
 use postbarrow_transport::{Links, Slab, now_ms};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, SyncSender};
+use std::thread;
 use std::time::Duration;
 
 pub enum Command {
@@ -15,6 +16,7 @@
     Synced(u64),
     DiskFailed(String),
     Page(PageResult),
+    Encoded { index: u64, state: Vec<u8> },
     Ask { ask: Ask, waitMs: u64, reply: SyncSender<Response> },
     End(Sender<()>),
 }
@@ -33,14 +35,21 @@
     asks: Slab<SyncSender<Response>>,
     writes: Writes,
     fetches: Sender<Fetch>,
+    commands: Sender<Command>,
     local: VecDeque<Envelope>,
 }
 
 impl Core {
-    pub fn new(node: ControlNode, own: SocketAddr, writes: Writes, fetches: Sender<Fetch>) -> Self {
+    pub fn new(
+        node: ControlNode,
+        own: SocketAddr,
+        writes: Writes,
+        fetches: Sender<Fetch>,
+        commands: Sender<Command>,
+    ) -> Self {
         let links = Links::new(own);
         let (desk, asks, local) = (Desk::default(), Slab::default(), VecDeque::new());
-        Core { node, own, links, desk, asks, writes, fetches, local }
+        Core { node, own, links, desk, asks, writes, fetches, commands, local }
     }
 
     pub fn run(mut self, queue: Receiver<Command>) {
@@ -88,6 +97,9 @@
                 std::process::exit(3);
             }
             Command::Page(page) => self.handle(nowMs, Input::Page(page)),
+            Command::Encoded { index, state } => {
+                self.handle(nowMs, Input::Encoded { index, state })
+            }
             Command::Ask { ask, waitMs, reply } => {
                 let key = self.asks.insert(reply);
                 let effects = self.desk.ask(nowMs, key, ask, waitMs);
@@ -115,11 +127,23 @@
                 Effect::Fetch { walk, cursor } => {
                     let _ = self.fetches.send(Fetch { walk, cursor });
                 }
+                Effect::Encode(snap) => self.encode(snap),
                 Effect::Say(text) => info!("control: {text}"),
             }
         }
     }
 
+    fn encode(&self, snap: Snap) {
+        let commands = self.commands.clone();
+        let spawned = thread::Builder::new().name("snapshot".into()).spawn(move || {
+            let (index, state) = (snap.index, snap.encode());
+            let _ = commands.send(Command::Encoded { index, state });
+        });
+        if let Err(error) = spawned {
+            warn!("control: no thread for a snapshot: {error}");
+        }
+    }
+
     fn carry_out(&mut self, effects: Vec<DeskEffect>) {
         for effect in effects {
             match effect {
--- a/programs/control-plane/src/lib.rs
+++ b/programs/control-plane/src/lib.rs
@@ -46,7 +46,7 @@
         let writes = disk::start(storage, commands.clone())?;
         let fetches = list::start(startup.list.clone().unwrap_or_default(), commands.clone())?;
         let node = ControlNode::new(own, recovered, &startup.seeds, random(), now_ms());
-        let core = Core::new(node, own.address, writes, fetches);
+        let core = Core::new(node, own.address, writes, fetches, commands.clone());
         thread::Builder::new().name("control".into()).spawn(move || core.run(queue))?;
         let hand = commands.clone();
         listen(links, move |envelope| hand.send(Command::Envelope(envelope)).is_ok())?;
