Give the fleet a living seed, and empty a disk only among three voters

Also: a test read settlements before they had been recorded, and failed one time in four under load; it now asks behind them.

--- a/programs/data-plane/src/tests/rig.rs
+++ b/programs/data-plane/src/tests/rig.rs
@@ -220,7 +220,9 @@
         )
     }
 
+    /// All settled so far: a question behind them in the queue is answered after them.
     pub fn settled(&self) -> Vec<Settlement> {
+        self.shared.ask(Ask::Show, 60_000);
         let asked = self.asked.lock().unwrap();
         let settled = asked.iter().filter_map(|ask| match ask {
             Ask::Settle { settlement, .. } => Some(*settlement),
--- a/tools/fleet-runner/src/faults.rs
+++ b/tools/fleet-runner/src/faults.rs
@@ -184,6 +184,10 @@
             Ok(())
         }
         Fault::EmptyControl => {
+            if !three_voters(fleet) {
+                println!("fleet: three voters are not at hand, no disk is emptied");
+                return Ok(());
+            }
             let at = seed as usize % 3;
             fleet.control[at].kill();
             let folder = format!("{}/control-{at}", fleet.folder);
@@ -198,6 +202,16 @@
     }
 }
 
+/// What an operator waits for before touching another core machine.
+fn three_voters(fleet: &Fleet) -> bool {
+    let members = fleet.get("/members").map(|(_, text)| text).unwrap_or_default();
+    let silent = members
+        .split("\"silentMs\":")
+        .skip(1)
+        .filter_map(|rest| rest.split(',').next()?.parse::<u64>().ok());
+    members.matches("\"voter\"").count() == 2 && silent.max().is_some_and(|most| most < 1_000)
+}
+
 fn controller(fleet: &Fleet) -> usize {
     let status = fleet.get("/status").map(|(_, text)| text).unwrap_or_default();
     let named = |words: &[String]| {
--- a/tools/fleet-runner/src/fleet.rs
+++ b/tools/fleet-runner/src/fleet.rs
@@ -88,7 +88,7 @@
             let (address, http) = (cli.port + 200 + at as u16, cli.port + 400 + at as u16);
             let words = words(format!(
                 "--name data-{at} --zone {zone} --address 127.0.0.1:{address} --http 127.0.0.1:{http} {}",
-                fleet.seeds()
+                fleet.seeds(at)
             ));
             let name = format!("data-{at}");
             let process = Process::start(
@@ -121,9 +121,14 @@
         Err("the first plan was never in force".into())
     }
 
-    pub fn seeds(&self) -> String {
-        let seeds = (0..3).map(|at| format!("--seed 127.0.0.1:{}", self.port + 100 + at));
-        seeds.collect::<Vec<_>>().join(" ")
+    /// Two of the first three core machines, which may be gone, and a data node that a fault
+    /// does not take together with the one that starts.
+    pub fn seeds(&self, at: usize) -> String {
+        let count = self.spec.dataNodes;
+        let other = self.port + 200 + ((at + count / 2) % count) as u16;
+        let seeds = [self.port + 100, self.port + 101, other];
+        let words = seeds.iter().map(|port| format!("--seed 127.0.0.1:{port}"));
+        words.collect::<Vec<_>>().join(" ")
     }
 
     /// `place` names the port, so that a machine can come back at another address.
@@ -134,7 +139,7 @@
             ZONES[at % ZONES.len()],
             self.folder,
             self.port,
-            self.seeds()
+            self.seeds(at)
         );
         text.split(' ').map(str::to_string).collect()
     }
