--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -63,6 +63,7 @@
             log: false,
             last: None,
             script: Vec::new(),
+            lostPerMille: 5,
         }
     }
 
