--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -78,7 +78,7 @@
     pub fn handle(&mut self, nowMs: u64, input: Input) -> Vec<Effect> {
         match input {
             Input::Pulse => self.pulse(nowMs),
-            Input::Synced(sequence) => self.on_synced(nowMs, sequence),
+            Input::Synced(sequence) => self.on_synced(sequence),
             Input::Receive { from, message } => self.receive(nowMs, from, message),
             Input::Propose(batches) => self.propose(nowMs, batches),
             Input::Form(members) => self.form(members),
@@ -115,7 +115,7 @@
         }
     }
 
-    fn on_synced(&mut self, nowMs: u64, sequence: u64) {
+    fn on_synced(&mut self, sequence: u64) {
         self.synced = self.synced.max(sequence);
         while let Some((wrote, last)) = self.appended.front().copied() {
             if wrote > self.synced {
@@ -129,7 +129,7 @@
             self.effects.push(Effect::Send { to, message });
         }
         if self.role == Role::Leader {
-            self.advance_commit(nowMs);
+            self.advance_commit();
         }
     }
 
--- a/crates/consensus/src/replicate.rs
+++ b/crates/consensus/src/replicate.rs
@@ -18,7 +18,7 @@
         self.write(Write::Append(entries));
         self.appended.push_back((self.sequence, self.log.last()));
         self.replicate(nowMs);
-        self.advance_commit(nowMs);
+        self.advance_commit();
     }
 
     pub(crate) fn leader_pulse(&mut self, nowMs: u64) {
@@ -151,7 +151,7 @@
                 known.matched = known.matched.max(matched);
                 known.next = known.next.max(known.matched + 1);
                 let more = known.next <= last;
-                self.advance_commit(nowMs);
+                self.advance_commit();
                 if more {
                     self.send_append(nowMs, from.id, false);
                 }
@@ -164,7 +164,7 @@
         }
     }
 
-    pub(crate) fn advance_commit(&mut self, _nowMs: u64) {
+    pub(crate) fn advance_commit(&mut self) {
         let members = self.log.members();
         let mut matches: Vec<u64> = members
             .iter()
--- a/crates/controller/src/commit.rs
+++ b/crates/controller/src/commit.rs
@@ -21,7 +21,7 @@
             }
         }
         self.answer_committed();
-        self.tell_watches(nowMs);
+        self.tell_watches();
         self.continue_open(nowMs);
     }
 
--- a/crates/controller/src/watches.rs
+++ b/crates/controller/src/watches.rs
@@ -42,7 +42,7 @@
         }
     }
 
-    pub(crate) fn tell_watches(&mut self, _nowMs: u64) {
+    pub(crate) fn tell_watches(&mut self) {
         let state = self.tail.image().clone();
         let Some(lead) = &mut self.lead else { return };
         let mut told = Vec::new();
--- a/crates/simulation/src/asks.rs
+++ b/crates/simulation/src/asks.rs
@@ -57,7 +57,7 @@
             (0..self.data.len()).filter(|at| any || self.is_ready(*at)).collect();
         self.book.asked(id, service != "catalogue");
         if nodes.is_empty() {
-            return self.book.told(id, Told::Unreached, self.nowUs);
+            return self.book.told(id, Told::Unreached);
         }
         let data = nodes[self.random.below(nodes.len() as u64) as usize];
         let ask = self.asks.len() as u64;
@@ -71,7 +71,7 @@
         let Some(run) = self.asks.get(&ask) else { return };
         let (id, service, keyed) = (run.id, run.service, run.keyed);
         if self.data[data].life != life {
-            return self.book.told(id, Told::Unreached, self.nowUs);
+            return self.book.told(id, Told::Unreached);
         }
         let oneTime = service != "catalogue";
         let about = About { oneTime, keyed, proved: false };
@@ -222,7 +222,7 @@
         if told == Told::Ran && header("x-id") != Some(id.to_string()) {
             self.book.violate(format!("ask {id} was given another's response"));
         }
-        self.book.told(id, told, self.nowUs);
+        self.book.told(id, told);
         let again = matches!(told, Told::Unknown | Told::Pending);
         if keyed && again && goes < 3 {
             self.client_sends(id, service, true, goes + 1);
--- a/crates/simulation/src/book.rs
+++ b/crates/simulation/src/book.rs
@@ -69,7 +69,7 @@
         self.ranUs.push(nowUs);
     }
 
-    pub fn told(&mut self, id: u64, told: Told, _nowUs: u64) {
+    pub fn told(&mut self, id: u64, told: Told) {
         let Some(page) = self.pages.get_mut(&id) else { return };
         page.told.push(told);
         let ran = !page.runs.is_empty();
