Let a node that was cut off follow introductions to a swapped core

Cause, by reading: a node took introductions only while it knew no member, so one that slept through the swap of all three machines asked the old ones for ever. The test fails without the change.

--- a/crates/node/src/fresh.rs
+++ b/crates/node/src/fresh.rs
@@ -17,6 +17,8 @@
     term: u64,
     controller: Option<SocketAddr>,
     members: Vec<SocketAddr>,
+    /// Named by others since the last grant; tried, not believed.
+    introduced: Vec<SocketAddr>,
     dueMs: u64,
     grantedMs: u64,
     toldHoldMs: u64,
@@ -31,6 +33,7 @@
             term: 0,
             controller: None,
             members: Vec::new(),
+            introduced: Vec::new(),
             dueMs: nowMs,
             grantedMs: 0,
             toldHoldMs: 0,
@@ -41,9 +44,12 @@
         &self.members
     }
 
-    pub fn introduced(&mut self, control: &[SocketAddr]) {
-        if self.members.is_empty() {
-            self.members = control.iter().copied().take(INTRODUCTIONS).collect();
+    pub fn on_introduction(&mut self, control: &[SocketAddr]) {
+        for address in control {
+            let known = self.members.contains(address) || self.introduced.contains(address);
+            if !known && self.introduced.len() < INTRODUCTIONS {
+                self.introduced.push(*address);
+            }
         }
     }
 
@@ -78,6 +84,7 @@
             Some(controller) => vec![controller],
             None => {
                 let mut all = self.fresh.members.clone();
+                all.extend(&self.fresh.introduced);
                 all.extend(&self.seeds);
                 all.sort_unstable();
                 all.dedup();
@@ -117,6 +124,7 @@
                 self.fresh.term = term;
                 self.fresh.controller = Some(from);
                 self.fresh.members = members;
+                self.fresh.introduced.clear();
                 self.fresh.grantedMs = nowMs;
                 let newer = self.fresh.grants.back().is_none_or(|last| last.sentMs <= sentMs);
                 if newer {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -114,7 +114,7 @@
             Message::FreshResponse { number, fresh } => self.on_fresh(nowMs, from, number, fresh),
             Message::Introduction { control, formed } => {
                 if formed {
-                    self.fresh.introduced(&control);
+                    self.fresh.on_introduction(&control);
                 }
             }
             Message::Introduce | Message::Greet(_) => {
--- a/crates/node/tests/hold.rs
+++ b/crates/node/tests/hold.rs
@@ -16,6 +16,7 @@
     nowMs: u64,
     asked: Vec<(u64, u64)>,
     tailed: Vec<(SocketAddr, u64)>,
+    askedAt: Vec<SocketAddr>,
 }
 
 impl Bench {
@@ -28,14 +29,15 @@
             zone: Name::from("a"),
         };
         let node = DataNode::new(own, vec![address(1)], 10_000);
-        Bench { node, nowMs: 10_000, asked: Vec::new(), tailed: Vec::new() }
+        Bench { node, nowMs: 10_000, asked: Vec::new(), tailed: Vec::new(), askedAt: Vec::new() }
     }
 
     fn input(&mut self, input: Input) {
         for effect in self.node.handle(self.nowMs, input) {
             match effect {
-                Effect::Send { message: Message::Fresh(ask), .. } => {
-                    self.asked.push((ask.number, self.nowMs))
+                Effect::Send { to, message: Message::Fresh(ask) } => {
+                    self.asked.push((ask.number, self.nowMs));
+                    self.askedAt.push(to);
                 }
                 Effect::Send { to, message: Message::Tail { after } } => {
                     self.tailed.push((to, after))
@@ -142,3 +144,17 @@
     assert!(!bench.node.is_ready(bench.nowMs));
     assert!(bench.node.hold_until() > bench.nowMs);
 }
+
+#[test]
+fn a_node_whose_core_was_swapped_while_it_was_cut_off_follows_introductions() {
+    let mut bench = Bench::new();
+    bench.pulse(20);
+    bench.news(0, 4, &[plan("v1")]);
+    bench.granted(bench.asked[0].0, 1, 4);
+    bench.pulse(5 * NODE_HOLD_MS);
+    bench.hears(Message::Introduction { control: vec![address(44)], formed: true });
+    bench.askedAt.clear();
+    bench.pulse(FRESH_MS);
+    assert!(bench.askedAt.contains(&address(44)), "{:?}", bench.askedAt);
+    assert!(bench.node.hold_until() < bench.nowMs, "an introduction grants nothing");
+}
