Serve kept connections until a stopping node is closed

Cause: a stopping node closed idle client connections at once, while the platform still counted it ready; a client that sent just then saw a reset.

--- a/programs/data-plane/src/downstream/serve.rs
+++ b/programs/data-plane/src/downstream/serve.rs
@@ -14,7 +14,7 @@
 /// Serves one client connection until either side ends it.
 pub fn serve(mut connection: Connection, shared: &Shared) {
     loop {
-        let head = match connection.next(|| shared.stopping.load(Relaxed)) {
+        let head = match connection.next(|| shared.closed.load(Relaxed)) {
             Next::Head(head) => head,
             Next::Closed => return,
             Next::Reject(reject) => return refuse(&mut connection, reject),
--- a/programs/data-plane/src/tests/asks.rs
+++ b/programs/data-plane/src/tests/asks.rs
@@ -164,3 +164,16 @@
     assert!(told.starts_with("HTTP/1.1 503") && told.contains("Retry-After: 1"), "{told}");
     assert_eq!(found.runs(), 0);
 }
+
+#[test]
+fn a_stopping_node_serves_a_kept_connection_once_more_and_says_it_closes() {
+    let (found, rig) = one(vec![Script::Whole("x")]);
+    let mut stream = std::net::TcpStream::connect(rig.http).unwrap();
+    rig.shared.stopping.store(true, Relaxed);
+    assert!(rig.get("/ready").starts_with("HTTP/1.1 503"), "unready first");
+    std::io::Write::write_all(&mut stream, b"GET /look/1 HTTP/1.1\r\nHost: h\r\n\r\n").unwrap();
+    let mut told = String::new();
+    std::io::Read::read_to_string(&mut stream, &mut told).unwrap();
+    assert!(told.starts_with("HTTP/1.1 200") && told.contains("Connection: close"), "{told}");
+    assert_eq!(found.runs(), 1);
+}
