Pass a body by reference; keep the last tunables in the one place

A go copied the whole body (up to 32 MiB) before it was sent; the HTTP library takes a slice. Looked at and left: the two programs' flags (gumdrop derives each struct whole), their main loops (other commands, other effects), the stand-ins' own small types.

--- a/crates/constants/src/consensus.rs
+++ b/crates/constants/src/consensus.rs
@@ -32,3 +32,5 @@
 pub const VOTERS: usize = 3;
 /// Fresh control nodes greet each other at this pace until a log exists.
 pub const GREET_MS: u64 = 200;
+/// A fresh node unheard for ten greetings is no longer counted.
+pub const HEARD_KEEP_MS: u64 = 10 * GREET_MS;
--- a/crates/constants/src/nodes.rs
+++ b/crates/constants/src/nodes.rs
@@ -52,3 +52,7 @@
 pub const REPORT_KEEP_MS: u64 = 3_000;
 /// Addresses of members a node keeps for introductions.
 pub const INTRODUCTIONS: usize = 64;
+/// A node with a gap in its news asks again at this pace.
+pub const TAIL_AGAIN_MS: u64 = 50;
+/// A node that left its parent tails the controller this long before it tries the tree again.
+pub const DIRECT_MS: u64 = 5_000;
--- a/crates/constants/src/plans.rs
+++ b/crates/constants/src/plans.rs
@@ -32,3 +32,7 @@
 pub const RULE_BRACKETS: usize = 8;
 /// Stack for reading one rule: the worst text within these bounds needs less than half.
 pub const RULE_STACK_BYTES: usize = 8 * 1024 * 1024;
+/// Bytes of a plan's text in one record; four of them fill a batch.
+pub const TEXT_PART_BYTES: usize = 16 * 1024;
+/// Objects and arrays within each other in a document; the reader recurses on each.
+pub const DEPTH: usize = 32;
--- a/crates/constants/src/traffic.rs
+++ b/crates/constants/src/traffic.rs
@@ -63,3 +63,9 @@
 pub const ZONE_SLACK_ASKS: u64 = 4;
 /// A target that failed here is passed over this long while others are there.
 pub const FAILED_PAUSE_MS: u64 = 1_000;
+/// One read of a client's connection.
+pub const READ_BYTES: usize = 16 * 1024;
+/// A waiting read looks up this often, to see a deadline or a stop.
+pub const LOOK_UP_MS: u64 = 250;
+/// A chunk's size line, at most.
+pub const CHUNK_LINE_BYTES: usize = 1024;
--- a/crates/controller/src/greet.rs
+++ b/crates/controller/src/greet.rs
@@ -1,6 +1,6 @@
 use crate::ControlNode;
 use postbarrow_consensus::{self as consensus, Member, MemberId};
-use postbarrow_constants::consensus::{ELECTION_MIN_MS, GREET_MS, VOTERS};
+use postbarrow_constants::consensus::{ELECTION_MIN_MS, GREET_MS, HEARD_KEEP_MS, VOTERS};
 use postbarrow_constants::nodes::INTRODUCTIONS;
 use postbarrow_messages::{Greet, Message};
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,8 +22,6 @@
     leaderMs: u64,
 }
 
-const HEARD_KEEP_MS: u64 = 10 * GREET_MS;
-
 impl Book {
     pub fn new(seeds: &[SocketAddr], own: SocketAddr) -> Self {
         let addresses = seeds.iter().copied().filter(|seed| *seed != own).collect();
--- a/crates/node/src/news.rs
+++ b/crates/node/src/news.rs
@@ -6,9 +6,6 @@
 use postbarrow_transactions::{Seen, Tail, decode};
 use std::net::SocketAddr;
 
-const TAIL_AGAIN_MS: u64 = 50;
-const DIRECT_MS: u64 = 5_000;
-
 impl DataNode {
     /// The parent in the tree, or the controller itself while the tree fails this node.
     fn news_from(&self, nowMs: u64) -> Option<SocketAddr> {
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -10,10 +10,9 @@
 pub use rehearsal::{Rehearsal, ServiceRehearsal};
 
 use compact_str::CompactString;
+use postbarrow_constants::plans::TEXT_PART_BYTES;
 use postbarrow_state::Record;
 
-const TEXT_PART_BYTES: usize = 16 * 1024;
-
 impl Plan {
     /// The plan as records; its text goes along so that it reads back byte for byte.
     pub fn records(&self) -> Vec<Record> {
--- a/crates/reading/src/places.rs
+++ b/crates/reading/src/places.rs
@@ -1,7 +1,6 @@
+use postbarrow_constants::plans::DEPTH;
 use std::collections::HashMap;
 
-const DEPTH: usize = 32;
-
 /// Where each JSON path stands in the text. Only places: facet-json does the reading.
 pub struct Places {
     offsets: HashMap<String, usize>,
--- a/programs/data-plane/src/ask.rs
+++ b/programs/data-plane/src/ask.rs
@@ -105,8 +105,8 @@
         };
         let head = self.head;
         load.enter();
-        let body = self.body.clone();
-        let (passed, back) = proved.pass(&head.method, &head.target, &self.headers, body, waitMs);
+        let (passed, back) =
+            proved.pass(&head.method, &head.target, &self.headers, &self.body, waitMs);
         load.leave();
         if let Some(proved) = back {
             self.shared.pools.load().give(target, proved);
--- a/programs/data-plane/src/downstream/body.rs
+++ b/programs/data-plane/src/downstream/body.rs
@@ -1,10 +1,9 @@
 use super::connection::Connection;
 use super::head::{Length, Reject};
 use crate::memory::{Memory, Reserved};
+use postbarrow_constants::traffic::CHUNK_LINE_BYTES;
 use std::sync::Arc;
 
-const CHUNK_LINE_BYTES: usize = 1024;
-
 pub struct Body {
     pub bytes: Vec<u8>,
     _reserved: Reserved,
--- a/programs/data-plane/src/downstream/connection.rs
+++ b/programs/data-plane/src/downstream/connection.rs
@@ -6,9 +6,6 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-const READ_BYTES: usize = 16 * 1024;
-const LOOK_UP_MS: u64 = 250;
-
 /// One client connection, read with deadlines so that none holds its thread for ever.
 pub struct Connection {
     stream: TcpStream,
--- a/programs/data-plane/src/upstream.rs
+++ b/programs/data-plane/src/upstream.rs
@@ -114,7 +114,7 @@
         method: &str,
         target: &str,
         headers: &[(String, String)],
-        body: Vec<u8>,
+        body: &[u8],
         waitMs: u64,
     ) -> (Passed, Option<Proved>) {
         let before = self.wire.sent();
