Let the dead voter leave before the learner joins, and never lose a majority

Cause: a learner joined first, so for one step there were four voters, one of them dead for good. Ruled out: leaving first alone. Change: the silent voter leaves, then the learner joins, and no step is proposed whose members heard lately are no majority.

--- a/crates/consensus/src/members.rs
+++ b/crates/consensus/src/members.rs
@@ -30,40 +30,47 @@
         self.progress.entry(member.id).or_insert_with(|| Progress::new(member, next, nowMs));
     }
 
-    /// One step at a time: a caught-up learner joins, then the voter silent longest leaves.
+    /// One step at a time: once a caught-up learner stands ready, the voter silent longest leaves;
+    /// then the learner joins. In this order no step needs more than the two that live: a learner
+    /// that dies meanwhile can't be missed by a majority of four. And no step is taken that would
+    /// leave the log without a majority of those heard lately.
     pub(crate) fn change_members(&mut self, nowMs: u64) {
         if !self.is_ready() || self.log.config_index() > self.commit {
             return;
         }
-        let members = self.log.members().to_vec();
-        let silentMs = |id: MemberId| match self.progress.get(&id) {
-            Some(known) => nowMs.saturating_sub(known.heardMs),
-            None => 0,
-        };
-        let silentest = members
-            .iter()
-            .filter(|member| member.id != self.id)
-            .max_by_key(|member| silentMs(member.id))
-            .copied();
-        let Some(silentest) = silentest else { return };
-        if members.len() > VOTERS {
-            let left = members.into_iter().filter(|member| member.id != silentest.id).collect();
-            return self.propose_members(nowMs, left);
+        let mut members = self.log.members().to_vec();
+        let Some(learner) = self.caught_up(nowMs) else { return };
+        if members.len() < VOTERS {
+            members.push(learner);
+        } else {
+            let silentMs = |member: &Member| match self.progress.get(&member.id) {
+                Some(known) => nowMs.saturating_sub(known.heardMs),
+                None => 0,
+            };
+            let others = members.iter().filter(|member| member.id != self.id);
+            let silentest = others.max_by_key(|member| silentMs(member)).copied();
+            let Some(dead) = silentest.filter(|one| silentMs(one) >= VOTER_DEAD_MS) else { return };
+            members.retain(|member| member.id != dead.id);
         }
-        if silentMs(silentest.id) < VOTER_DEAD_MS {
-            return;
+        let live = members.iter().filter(|one| one.id == self.id || self.is_heard(nowMs, one.id));
+        if live.count() > members.len() / 2 {
+            self.propose_members(nowMs, members);
         }
-        let caught = self.learners.values().copied().find(|learner| {
+    }
+
+    fn is_heard(&self, nowMs: u64, id: MemberId) -> bool {
+        let known = self.progress.get(&id);
+        known.is_some_and(|known| nowMs.saturating_sub(known.heardMs) < HEARTBEAT_MS * 4)
+    }
+
+    fn caught_up(&self, nowMs: u64) -> Option<Member> {
+        let caught = |learner: &&Member| {
             self.progress.get(&learner.id).is_some_and(|known| {
-                nowMs.saturating_sub(known.heardMs) < HEARTBEAT_MS * 4
+                self.is_heard(nowMs, learner.id)
                     && known.matched + LEARNER_LAG_ENTRIES >= self.log.last()
             })
-        });
-        if let Some(learner) = caught {
-            let mut joined = members;
-            joined.push(learner);
-            self.propose_members(nowMs, joined);
-        }
+        };
+        self.learners.values().find(caught).copied()
     }
 
     /// The same disk at another address: the same voters, so one step does.
