--- a/crates/constants/src/coordination.rs
+++ b/crates/constants/src/coordination.rs
@@ -8,19 +8,24 @@
 pub const ASK_AGAIN_MS: u64 = 300;
 /// A settled ticket is kept this long: a client's retries come within minutes.
 pub const TICKET_KEEP_MS: u64 = 15 * 60 * 1_000;
-/// Settled tickets kept at most: 170 a second for ten minutes.
-pub const TICKETS: usize = 102_000;
+/// The log's own time goes on in such steps; a change of controller may lose one.
+pub const ERA_MS: u64 = 30_000;
+/// Tickets at most: twice Kutch's 170 a second for fifteen minutes. Beyond it new one-time asks are
+/// shed; a kept key is never dropped before its time.
+pub const TICKETS: usize = 306_000;
+/// Bytes of kept responses in all: with the tickets, a slot of a small disk stays near 160 MiB.
+pub const KEPT_BYTES: u64 = 64 * 1024 * 1024;
 /// A response kept with its ticket, at most; larger ones get 409 on repeat.
 pub const KEPT_RESPONSE_BYTES: usize = 2 * 1024;
 /// An Idempotency-Key, at most.
 pub const TICKET_KEY_BYTES: usize = 200;
-/// Results of coordination calls kept for repeats.
+/// Results of coordination calls kept for repeats; beyond it calls that change anything are shed.
 pub const REPEATS: usize = 20_000;
 /// Such a result is kept this long.
 pub const REPEAT_KEEP_MS: u64 = 120_000;
 /// Watch events kept at least this long; the brief asks for about 20 s.
 pub const HISTORY_KEEP_MS: u64 = 25_000;
-/// Watch events kept at most; 65 calls a second for 25 s is 1 625.
+/// Watch events kept at most, shed beyond; 65 calls a second for 25 s is 1 625.
 pub const HISTORY_EVENTS: usize = 50_000;
 /// A long poll ends empty after this.
 pub const WATCH_WAIT_MS: u64 = 20_000;
--- a/crates/controller/examples/snapshot_cost.rs
+++ b/crates/controller/examples/snapshot_cost.rs
@@ -23,6 +23,7 @@
             number: at,
             settled: Some(Settlement::Ran),
             response: Some(Arc::new(kept)),
+            era: 0,
         };
         state.tickets.insert(key, Arc::new(ticket));
     }
--- a/crates/controller/src/calls.rs
+++ b/crates/controller/src/calls.rs
@@ -31,6 +31,7 @@
             let outcome = known.as_ref().clone();
             return self.reply_settled(origin, Response::Outcome(outcome));
         }
+        let full = state.repeats.len() >= REPEATS || state.history.len() >= HISTORY_EVENTS;
         let (outcome, mut records) = decide(state, &call);
         if let (Outcome::Locked { ttlMs, .. }, Call::Lock { name, .. } | Call::Renew { name, .. }) =
             (&outcome, &call)
@@ -45,6 +46,9 @@
         if records.is_empty() {
             return self.reply_settled(origin, Response::Outcome(outcome));
         }
+        if full {
+            return self.shed(origin);
+        }
         if let Some(id) = id {
             records.push(Record::Repeat { id, outcome: outcome.clone() });
         }
--- a/crates/controller/src/forget.rs
+++ b/crates/controller/src/forget.rs
@@ -5,15 +5,12 @@
 
 impl ControlNode {
     pub(crate) fn note_committed(&mut self, nowMs: u64, lines: &[Line<Record>]) {
+        let era = self.committed().era;
         let Some(lead) = &mut self.lead else { return };
         for line in lines {
             match line {
                 Line::Data(Record::Settled { key, .. }) => {
-                    lead.settledMs.insert(key.clone(), nowMs);
-                    lead.settledQueue.push_back((nowMs, key.clone()));
-                }
-                Line::Data(Record::Ticket(ticket)) => {
-                    lead.settledMs.remove(&ticket.key);
+                    lead.settledQueue.push_back((era, key.clone()));
                 }
                 Line::Data(Record::Repeat { id, .. }) => {
                     lead.repeatQueue.push_back((nowMs, id.clone()));
@@ -37,22 +34,23 @@
         }
         lead.forgetDueMs = nowMs + FORGET_MS;
         let Some(state) = lead.writer.as_ref().map(|writer| writer.current()) else { return };
+        let eras = nowMs.saturating_sub(lead.eraMs) / ERA_MS;
+        lead.eraMs += eras * ERA_MS;
         let mut tickets: Vec<Name> = Vec::new();
-        while let Some((atMs, key)) = lead.settledQueue.front() {
-            let over = state.tickets.len() - tickets.len() > TICKETS;
-            if tickets.len() >= FORGET_RECORDS || (nowMs < atMs + TICKET_KEEP_MS && !over) {
+        while let Some((era, key)) = lead.settledQueue.front() {
+            let young = state.era <= era + TICKET_KEEP_MS / ERA_MS;
+            if tickets.len() >= FORGET_RECORDS || young {
                 break;
             }
-            if lead.settledMs.get(key) == Some(atMs) {
+            let known = state.tickets.get(key);
+            if known.is_some_and(|known| known.settled.is_some() && known.era == *era) {
                 tickets.push(key.clone());
-                lead.settledMs.remove(key);
             }
             lead.settledQueue.pop_front();
         }
         let mut repeats: Vec<Name> = Vec::new();
         while let Some((atMs, id)) = lead.repeatQueue.front() {
-            let over = lead.repeatQueue.len() > REPEATS;
-            if repeats.len() >= FORGET_RECORDS || (nowMs < atMs + REPEAT_KEEP_MS && !over) {
+            if repeats.len() >= FORGET_RECORDS || nowMs < atMs + REPEAT_KEEP_MS {
                 break;
             }
             repeats.push(id.clone());
@@ -61,17 +59,16 @@
         lead.historyMarks.push_back((nowMs, state.revision));
         let mut floor = state.historyFloor;
         while let Some((atMs, revision)) = lead.historyMarks.front().copied() {
-            let over = state.history.len() > HISTORY_EVENTS;
-            if nowMs < atMs + HISTORY_KEEP_MS && !over {
+            if nowMs < atMs + HISTORY_KEEP_MS {
                 break;
             }
             floor = floor.max(revision);
             lead.historyMarks.pop_front();
-            if over {
-                break;
-            }
         }
         let mut records = Vec::new();
+        if eras > 0 {
+            records.push(Record::Era { by: eras });
+        }
         if !tickets.is_empty() {
             records.push(Record::TicketsForgotten(tickets));
         }
--- a/crates/controller/src/lead.rs
+++ b/crates/controller/src/lead.rs
@@ -7,7 +7,7 @@
 use postbarrow_messages::{Ask, Response};
 use postbarrow_state::{Incarnation, Name, Record, State};
 use postbarrow_transactions::{Line, Writer, encode};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 /// What only the controller has; gone when it is deposed, rebuilt from the log at take-over.
 pub(crate) struct Lead {
@@ -18,7 +18,7 @@
     pub waiting: VecDeque<(u64, Origin, Ask)>,
     pub open: Option<Open>,
     pub locksDueMs: BTreeMap<Name, u64>,
-    pub settledMs: HashMap<Name, u64>,
+    /// Settled keys by the era of their settlement.
     pub settledQueue: VecDeque<(u64, Name)>,
     pub repeatQueue: VecDeque<(u64, Name)>,
     pub historyMarks: VecDeque<(u64, u64)>,
@@ -28,6 +28,10 @@
     pub slowList: bool,
     pub parked: Vec<Parked>,
     pub forgetDueMs: u64,
+    pub eraMs: u64,
+    /// Responses not kept and asks shed for want of space, since this controller leads.
+    pub unkept: u64,
+    pub shed: u64,
     pub conditionDueMs: u64,
     pub longestStallMs: u64,
     /// Since when the hold lasts without a break.
@@ -44,7 +48,6 @@
             waiting: VecDeque::new(),
             open: None,
             locksDueMs: BTreeMap::new(),
-            settledMs: HashMap::new(),
             settledQueue: VecDeque::new(),
             repeatQueue: VecDeque::new(),
             historyMarks: VecDeque::new(),
@@ -54,6 +57,9 @@
             slowList: false,
             parked: Vec::new(),
             forgetDueMs: 0,
+            eraMs: nowMs,
+            unkept: 0,
+            shed: 0,
             conditionDueMs: 0,
             longestStallMs: 0,
             holdSinceMs: None,
@@ -72,12 +78,10 @@
         lead.ready = true;
         lead.locksDueMs =
             state.locks.iter().map(|(name, lock)| (name.clone(), nowMs + lock.ttlMs)).collect();
-        for (key, ticket) in &state.tickets {
-            if ticket.settled.is_some() {
-                lead.settledMs.insert(key.clone(), nowMs);
-                lead.settledQueue.push_back((nowMs, key.clone()));
-            }
-        }
+        let settled = state.tickets.iter().filter(|(_, ticket)| ticket.settled.is_some());
+        let mut settled: Vec<_> = settled.map(|(key, ticket)| (ticket.era, key.clone())).collect();
+        settled.sort_unstable();
+        lead.settledQueue = settled.into();
         lead.repeatQueue = state.repeats.keys().map(|id| (nowMs, id.clone())).collect();
         lead.historyMarks.push_back((nowMs, state.revision));
         lead.nodes = state.nodes.keys().map(|node| (*node, Seen::at(nowMs))).collect();
--- a/crates/controller/src/status.rs
+++ b/crates/controller/src/status.rs
@@ -1,6 +1,7 @@
 use crate::operator::json;
 use crate::{ControlNode, Origin};
 use facet::Facet;
+use postbarrow_constants::coordination::{KEPT_BYTES, TICKETS};
 
 #[derive(Facet)]
 #[facet(rename_all = "camelCase")]
@@ -46,6 +47,12 @@
     longest_stall_ms: u64,
     tickets: u64,
     open_tickets: u64,
+    tickets_most: u64,
+    kept_bytes: u64,
+    kept_bytes_most: u64,
+    /// Responses not kept, and asks and calls shed, for want of space under this controller.
+    unkept: u64,
+    shed: u64,
     locks: u64,
     keys: u64,
     numbers: u64,
@@ -100,7 +107,8 @@
                 silent_ms: seen.map_or(0, |seen| nowMs.saturating_sub(seen.lastMs)),
             }
         };
-        let writer = self.lead.as_ref().and_then(|lead| lead.writer.as_ref());
+        let lead = self.lead.as_ref();
+        let writer = lead.and_then(|lead| lead.writer.as_ref());
         let told = StatusTold {
             controller: self.own.address.to_string(),
             term: self.consensus.term(),
@@ -115,6 +123,11 @@
             tickets: state.tickets.len() as u64,
             open_tickets: state.tickets.values().filter(|ticket| ticket.settled.is_none()).count()
                 as u64,
+            tickets_most: TICKETS as u64,
+            kept_bytes: state.keptBytes,
+            kept_bytes_most: KEPT_BYTES,
+            unkept: lead.map_or(0, |lead| lead.unkept),
+            shed: lead.map_or(0, |lead| lead.shed),
             locks: state.locks.len() as u64,
             keys: state.keys.len() as u64,
             numbers: state.numbers.len() as u64,
--- a/crates/controller/src/tickets.rs
+++ b/crates/controller/src/tickets.rs
@@ -1,4 +1,5 @@
 use crate::{ControlNode, Origin};
+use postbarrow_constants::coordination::{KEPT_BYTES, TICKETS};
 use postbarrow_messages::Response;
 use postbarrow_state::{Kept, Record, Settlement, Ticket};
 
@@ -20,8 +21,10 @@
             Some(known) if known.settled == Some(Settlement::Unsent) => None,
             Some(known) => Some(Response::Known(known.as_ref().clone().into())),
         };
+        let full = state.tickets.len() >= TICKETS && !state.tickets.contains_key(&ticket.key);
         match response {
             Some(response) => self.reply_settled(origin, response),
+            None if full => self.shed(origin),
             None => {
                 let clean = Ticket { settled: None, response: None, ..ticket };
                 let offset = self.propose(nowMs, vec![Record::Ticket(clean)]);
@@ -41,6 +44,9 @@
         response: Option<Kept>,
     ) {
         let Some(state) = self.current() else { return };
+        let size = response.as_ref().map_or(0, |kept| kept.size() as u64);
+        let fits = state.keptBytes + size <= KEPT_BYTES;
+        let response = response.filter(|_| fits);
         let settled = Record::Settled { key: ticket.key.clone(), settlement, response };
         let records = match state.tickets.get(&ticket.key) {
             Some(known) if same_go(known, &ticket) => match known.settled {
@@ -58,9 +64,20 @@
         if records.is_empty() {
             return self.reply_settled(origin, Response::Settled);
         }
+        if let Some(lead) = self.lead.as_mut().filter(|_| !fits) {
+            lead.unkept += 1;
+        }
         let offset = self.propose(nowMs, records);
         self.reply_at(offset, origin, Response::Settled);
     }
+
+    /// Space is out: what is new is shed, what is kept stays.
+    pub(crate) fn shed(&mut self, origin: Origin) {
+        if let Some(lead) = &mut self.lead {
+            lead.shed += 1;
+        }
+        self.reply_settled(origin, Response::Full);
+    }
 }
 
 fn same_go(known: &Ticket, asked: &Ticket) -> bool {
--- a/crates/controller/src/walk.rs
+++ b/crates/controller/src/walk.rs
@@ -1,10 +1,11 @@
+mod absence;
+
 use crate::handover::{Handed, Note};
 use crate::pace::Pace;
 use crate::page::Listed;
 use postbarrow_constants::nodes::*;
-use postbarrow_constants::plans::LEAVING_WAIT_MS;
 use postbarrow_state::{Name, Target};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// One page of the present walk: asked for, then read.
 struct Page {
@@ -212,85 +213,4 @@
         let (gone, doubtful) = self.whole(nowMs, known);
         Taken::Whole { rows, gone, doubtful }
     }
-
-    fn is_leaving(&self, instance: &Name) -> bool {
-        let read = self.pages.iter().filter_map(|page| page.read.as_ref());
-        read.flat_map(|listed| &listed.targets).any(|row| row.draining && row.instance == *instance)
-    }
-
-    /// Who is missing, of those that were known: for certain, or doubtfully. A row may only have been
-    /// pushed to a page read before, and a list that shrank sharply may be the list's own trouble:
-    /// these need further walks, made at once, to be believed.
-    fn whole(&mut self, nowMs: u64, known: &[Name]) -> (Vec<Name>, Vec<Name>) {
-        let read: Vec<&Listed> = self.pages.iter().filter_map(|page| page.read.as_ref()).collect();
-        let rows = || read.iter().flat_map(|listed| &listed.targets);
-        let found: BTreeSet<&Name> = rows().map(|row| &row.instance).collect();
-        let shrunk = found.len() * 2 < known.len();
-        let believed = !shrunk || self.shrunk;
-        self.shrunk = shrunk;
-        let missing = known.iter().filter(|name| !found.contains(name));
-        let (gone, doubtful): (Vec<Name>, Vec<Name>) = missing.cloned().partition(|name| {
-            let missed = self.suspects.get(name).copied().unwrap_or(0) + 1;
-            let certain = self.is_certain(name, &found, &read);
-            believed && (certain || missed >= LIST_MISSES)
-        });
-        let mut order: Vec<Name> = rows().map(|row| row.instance.clone()).collect();
-        for name in doubtful.iter().filter(|name| self.order.contains(name)) {
-            let before = self.order.iter().take_while(|known| *known != name);
-            let last = before.filter_map(|known| order.iter().position(|kept| kept == known)).max();
-            order.insert(last.map_or(0, |at| at + 1), name.clone());
-        }
-        let old = std::mem::take(&mut self.suspects);
-        let missed = |name: &Name| old.get(name).copied().unwrap_or(0) + 1;
-        self.suspects = doubtful.iter().map(|name| (name.clone(), missed(name))).collect();
-        self.chain = self.pages.iter().map(|page| page.cursor.clone()).collect();
-        self.order = order;
-        self.guesses = true;
-        self.finding = None;
-        if doubtful.is_empty() {
-            self.wholeMs = Some(nowMs);
-        }
-        let tookMs = nowMs.saturating_sub(self.startMs);
-        let count = self.pages.len() as u64;
-        self.cycleMs = LIST_CYCLE_MS.max(count * self.pace.gapMs()).max(tookMs + LIST_PAUSE_MS);
-        self.slowestMs = std::mem::take(&mut self.pageMs);
-        self.waitMs = (4 * self.slowestMs).clamp(LIST_PAGE_FIRST_WAIT_MS, LIST_PAGE_WAIT_MS);
-        let dueMs = match doubtful.is_empty() {
-            true => (nowMs + LIST_PAUSE_MS).max(self.startMs + LIST_CYCLE_MS),
-            false => nowMs,
-        };
-        self.restart(dueMs);
-        if self.leave_bound_ms() > LEAVE_BOUND_MS {
-            self.pace.relax(nowMs);
-        }
-        (gone, doubtful)
-    }
-
-    /// Its neighbours of the last walk stand side by side on one page, so it was not pushed to a
-    /// page that had been read already.
-    fn is_certain(&self, name: &Name, found: &BTreeSet<&Name>, read: &[&Listed]) -> bool {
-        let Some(at) = self.order.iter().position(|known| known == name) else { return false };
-        let kept = |known: &&Name| found.contains(*known);
-        let before = self.order[..at].iter().rev().find(kept);
-        let after = self.order[at + 1..].iter().find(kept);
-        let on = |wanted: &Name| {
-            read.iter().enumerate().find_map(|(page, listed)| {
-                let row = listed.targets.iter().position(|row| row.instance == *wanted)?;
-                Some((page, row))
-            })
-        };
-        match (before.and_then(on), after.and_then(on)) {
-            (Some((page, row)), Some((next, later))) => page == next && later == row + 1,
-            (None, Some(place)) => before.is_none() && place == (0, 0),
-            (Some((page, row)), None) => {
-                after.is_none() && page + 1 == read.len() && row + 1 == read[page].targets.len()
-            }
-            (None, None) => before.is_none() && after.is_none(),
-        }
-    }
-
-    /// From a mark in the list to the last ask at that target, at worst, with the list as it is.
-    pub fn leave_bound_ms(&self) -> u64 {
-        self.cycleMs + self.slowestMs + LEAVING_WAIT_MS + COMMIT_MS + NODE_HOLD_MS
-    }
 }
--- a/crates/controller/tests/bench/mod.rs
+++ b/crates/controller/tests/bench/mod.rs
@@ -245,5 +245,6 @@
         number,
         settled: None,
         response: None,
+        era: 0,
     }
 }
--- a/crates/controller/tests/duties.rs
+++ b/crates/controller/tests/duties.rs
@@ -70,7 +70,9 @@
     bench.settle();
     let Some(Response::Known(known)) = bench.answer(3) else { panic!("not known") };
     assert_eq!(known.response.as_deref(), Some(&kept));
-    bench.pulse(TICKET_KEEP_MS + FORGET_MS);
+    bench.pulse(TICKET_KEEP_MS + 2 * ERA_MS);
+    bench.sync();
+    bench.pulse(FORGET_MS);
     bench.sync();
     assert!(bench.state().tickets.is_empty());
 }
--- a/crates/messages/src/asks.rs
+++ b/crates/messages/src/asks.rs
@@ -35,6 +35,8 @@
     Settled,
     Outcome(Outcome),
     Refused(String),
+    /// The log has no space for it; nothing ran under its key.
+    Full,
     /// The plan in force, byte for byte as submitted.
     Plan {
         version: Name,
--- a/crates/node/src/course.rs
+++ b/crates/node/src/course.rs
@@ -110,7 +110,7 @@
         let Some(target) = &self.target else { return self.end(Told::Unready) };
         if !self.is_one_time() {
             return match self.may_pass(now) {
-                true => Step::Pass { waitMs: self.left_ms(now) },
+                true => Step::Pass { waitMs: self.left_ms(now), untilMs: u64::MAX },
                 false => self.next_go(now),
             };
         }
@@ -123,6 +123,7 @@
             number: now.number,
             settled: None,
             response: None,
+            era: 0,
         };
         self.ticket = Some(ticket.clone());
         self.askedMs = now.nowMs;
@@ -135,7 +136,8 @@
                 self.proved = true;
                 let fresh = now.nowMs < self.askedMs + TICKET_USE_MS;
                 if fresh && self.may_pass(now) {
-                    return Step::Pass { waitMs: self.left_ms(now) };
+                    let untilMs = self.askedMs + TICKET_USE_MS;
+                    return Step::Pass { waitMs: self.left_ms(now), untilMs };
                 }
                 self.why = "the ticket came too late for its target".into();
                 self.settle_unsent(now)
@@ -152,6 +154,11 @@
                 self.ticket = None;
                 self.end(Told::OtherDigest)
             }
+            Response::Full => {
+                self.ticket = None;
+                self.proved = true;
+                self.end(Told::NoTicket("the log has no space for new keys".into()))
+            }
             Response::Refused(why) => {
                 self.ticket = None;
                 self.end(Told::NoTicket(why))
@@ -210,16 +217,16 @@
     fn verdict(&self, told: Told) -> Verdict {
         let about =
             About { oneTime: self.is_one_time(), keyed: self.go.keyed, proved: self.proved };
-        Verdict { told, about }
+        let key = (about.oneTime && !about.keyed).then(|| self.go.key.clone());
+        Verdict { told, about, key }
     }
 }
 
 fn keep(response: &TargetResponse) -> Option<Kept> {
-    let headers: usize =
-        response.headers.iter().map(|(name, value)| name.len() + value.len()).sum();
-    (headers + response.body.len() <= KEPT_RESPONSE_BYTES).then(|| Kept {
+    let kept = Kept {
         status: response.status,
         headers: response.headers.clone(),
         body: response.body.clone(),
-    })
+    };
+    (kept.size() <= KEPT_RESPONSE_BYTES).then_some(kept)
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,7 +8,7 @@
 
 pub use course::Course;
 pub use step::{Event, Go, Now, Passed, Step, TargetResponse};
-pub use verdict::{About, OUTCOME, REPLAYED, Told, Verdict};
+pub use verdict::{About, KEY, OUTCOME, REPLAYED, Told, Verdict};
 
 use fresh::FreshBook;
 use postbarrow_constants::nodes::*;
--- a/crates/node/src/step.rs
+++ b/crates/node/src/step.rs
@@ -44,11 +44,29 @@
 
 /// What the driver does next; each but Done is answered by one event.
 pub enum Step {
-    Connect { target: Arc<Target>, load: Arc<Load> },
-    AskTicket { ticket: Ticket, waitMs: u64 },
-    Pass { waitMs: u64 },
-    Settle { ticket: Ticket, settlement: Settlement, response: Option<Kept>, waitMs: u64 },
-    Done { verdict: Verdict, settle: Option<(Ticket, Settlement, Option<Kept>)> },
+    Connect {
+        target: Arc<Target>,
+        load: Arc<Load>,
+    },
+    AskTicket {
+        ticket: Ticket,
+        waitMs: u64,
+    },
+    /// Its first byte goes out before `untilMs`, within the hold, or none does.
+    Pass {
+        waitMs: u64,
+        untilMs: u64,
+    },
+    Settle {
+        ticket: Ticket,
+        settlement: Settlement,
+        response: Option<Kept>,
+        waitMs: u64,
+    },
+    Done {
+        verdict: Verdict,
+        settle: Option<(Ticket, Settlement, Option<Kept>)>,
+    },
 }
 
 /// What the driver knows at the moment of an event.
--- a/crates/node/src/verdict.rs
+++ b/crates/node/src/verdict.rs
@@ -30,6 +30,8 @@
 pub struct Verdict {
     pub told: Told,
     pub about: About,
+    /// The key that was made up for an ask without one.
+    pub key: Option<Name>,
 }
 
 /// What decides how sure a node can be that an ask did not run.
@@ -50,6 +52,8 @@
 }
 
 pub const OUTCOME: &str = "Postbarrow-Outcome";
+/// Under which key a repeat of this ask is safe.
+pub const KEY: &str = "Postbarrow-Key";
 pub const REPLAYED: &str = "Postbarrow-Replayed";
 
 impl Verdict {
@@ -92,7 +96,13 @@
                 (504, "unknown", "the target did not respond in time", Some(why))
             }
         };
-        about.made(status, outcome, error, detail)
+        let mut response = about.made(status, outcome, error, detail);
+        if outcome == "unknown"
+            && let Some(key) = self.key
+        {
+            response.headers.push((KEY.into(), key.to_string()));
+        }
+        response
     }
 }
 
@@ -114,7 +124,8 @@
             (false, status) => (status, outcome),
         };
         let mut response = json(status, outcome, error, detail);
-        if matches!(status, 429 | 502 | 503 | 504) {
+        let safe = !self.oneTime || self.keyed || outcome == "not-run";
+        if matches!(status, 429 | 502 | 503 | 504) && safe {
             response.headers.push(("Retry-After".into(), RETRY_AFTER_S.to_string()));
         }
         response
--- a/crates/simulation/src/asks.rs
+++ b/crates/simulation/src/asks.rs
@@ -1,6 +1,7 @@
 use crate::book::Told;
 use crate::data::Waits;
-use crate::world::{Event, Who, World};
+use crate::event::{Event, Who};
+use crate::world::World;
 use postbarrow_constants::coordination::SETTLE_WAIT_MS;
 use postbarrow_messages::Ask;
 use postbarrow_node::*;
@@ -16,9 +17,9 @@
     pub service: &'static str,
     data: usize,
     course: Option<Course>,
-    target: Option<(Arc<Target>, Arc<Load>)>,
+    pub target: Option<(Arc<Target>, Arc<Load>)>,
     /// Who was at the other end when the connection was made, whoever that is.
-    connected: Option<String>,
+    pub connected: Option<String>,
 }
 
 impl AskRun {
@@ -85,13 +86,15 @@
         let oneTime = service != "catalogue";
         let about = About { oneTime, keyed, proved: false };
         if !self.serves(data) {
-            return self.end_ask(ask, Verdict { told: postbarrow_node::Told::Unready, about });
+            return self
+                .end_ask(ask, Verdict { told: postbarrow_node::Told::Unready, about, key: None });
         }
         let table = self.data[data].table.clone();
         let (method, path, _) =
             *SERVICES.iter().find(|row| row.2 == service).unwrap_or(&SERVICES[0]);
         let Found::Route(entry) = table.find(method, path, &[]) else {
-            return self.end_ask(ask, Verdict { told: postbarrow_node::Told::NoRoute, about });
+            return self
+                .end_ask(ask, Verdict { told: postbarrow_node::Told::NoRoute, about, key: None });
         };
         let startMs = self.local_ms(Who::Data(data));
         let seed = self.random.draw();
@@ -137,7 +140,10 @@
                 let settle = Ask::Settle { ticket, settlement, response };
                 self.ask_controller(data, settle, waitMs, Waits::Ask(ask));
             }
-            Step::Pass { .. } => self.pass(ask, data),
+            Step::Pass { untilMs, .. } => {
+                let life = self.data[data].life;
+                self.after(20, Event::Send { ask, data, life, untilMs });
+            }
             Step::Done { verdict, settle } => {
                 if let Some((ticket, settlement, response)) = settle {
                     let settle = Ask::Settle { ticket, settlement, response };
@@ -148,71 +154,6 @@
         }
     }
 
-    /// The connection's other end says who it is before anything is sent.
-    fn connect(&mut self, ask: u64, data: usize, target: &Target) {
-        let life = self.data[data].life;
-        let found = self.target_at(target.address).map(|found| found.instance.clone());
-        if let Some(run) = self.asks.get_mut(&ask) {
-            run.connected = found;
-        }
-        let (tookUs, event) = match self.target_at(target.address) {
-            None => (600, postbarrow_node::Event::Unconnected("refused".into())),
-            Some(found) if found.frozen => {
-                (800_000, postbarrow_node::Event::Unconnected("no proof in time".into()))
-            }
-            Some(found) if found.instance != target.instance.as_str() => {
-                (1_200, postbarrow_node::Event::Unconnected("another target".into()))
-            }
-            Some(_) => (1_200, postbarrow_node::Event::Connected),
-        };
-        self.after(tookUs, Event::Go { ask, data, life, event });
-    }
-
-    fn pass(&mut self, ask: u64, data: usize) {
-        self.check_pass(ask, data);
-        let life = self.data[data].life;
-        let Some(run) = self.asks.get_mut(&ask) else { return };
-        let Some((_, load)) = run.target.clone() else { return };
-        load.enter();
-        let Some(instance) = run.connected.clone() else { return };
-        let delayUs = self.random.between(200, 900);
-        self.after(delayUs, Event::Run { ask, data, life, instance });
-    }
-
-    /// The bytes reach the target, or the connection has broken under way: then nobody can say.
-    pub fn run(&mut self, ask: u64, data: usize, life: u64, instance: &str) {
-        let Some(run) = self.asks.get(&ask) else { return };
-        let (id, service) = (run.id, run.service);
-        if let Some((_, load)) = &run.target {
-            load.leave();
-        }
-        let lost = self.random.below(1_000);
-        let target = self.targets.iter().find(|target| target.instance == instance);
-        let Some((alive, frozen, lossy, kind)) = target.map(|target| {
-            (target.alive, target.frozen, target.lostPerMille, target.service.clone())
-        }) else {
-            return;
-        };
-        let failed = |late, why: &str| Passed::Unknown { late, why: why.into() };
-        let (tookUs, passed) = if !alive {
-            (300, failed(false, "broken"))
-        } else if frozen {
-            self.book.ran(id, instance, &kind, service, self.nowUs);
-            (4_000_000, failed(true, "late"))
-        } else {
-            self.book.ran(id, instance, &kind, service, self.nowUs);
-            let tookUs = self.random.between(1_000, 6_000);
-            if lost < lossy {
-                (tookUs, failed(false, "the response is lost"))
-            } else {
-                let headers = vec![("x-id".to_string(), id.to_string())];
-                (tookUs, Passed::Whole(TargetResponse { status: 200, headers, body: vec![1] }))
-            }
-        };
-        let event = postbarrow_node::Event::Passed(passed);
-        self.after(tookUs, Event::Go { ask, data, life, event });
-    }
-
     fn end_ask(&mut self, ask: u64, verdict: Verdict) {
         let Some(run) = self.asks.get_mut(&ask) else { return };
         run.course = None;
--- a/crates/simulation/src/calls.rs
+++ b/crates/simulation/src/calls.rs
@@ -1,5 +1,6 @@
 use crate::data::Waits;
-use crate::world::{Event, World};
+use crate::event::Event;
+use crate::world::World;
 use postbarrow_messages::{Ask, Response};
 use postbarrow_state::{Call, Change, Name, Outcome, Sort};
 use std::collections::BTreeMap;
--- a/crates/simulation/src/check.rs
+++ b/crates/simulation/src/check.rs
@@ -1,4 +1,5 @@
-use crate::world::{Who, World};
+use crate::event::Who;
+use crate::world::World;
 use postbarrow_consensus::Payload;
 
 const HOLD_US: u64 = 1_005_000;
--- a/crates/simulation/src/control.rs
+++ b/crates/simulation/src/control.rs
@@ -1,5 +1,6 @@
 use crate::disk::SimDisk;
-use crate::world::{Event, Who, World};
+use crate::event::{Event, Who};
+use crate::world::World;
 use imbl::OrdMap;
 use postbarrow_consensus::{Member, Recovered, Write};
 use postbarrow_controller::{ControlNode, Effect, Input};
--- a/crates/simulation/src/data.rs
+++ b/crates/simulation/src/data.rs
@@ -1,4 +1,5 @@
-use crate::world::{Event, Who, World, address};
+use crate::event::{Event, Who};
+use crate::world::{World, address};
 use postbarrow_node::{DataNode, Effect, Input};
 use postbarrow_routing::Table;
 use postbarrow_state::{Name, Node};
@@ -120,7 +121,8 @@
                     match self.data[at].waits.remove(&key).unwrap_or(Waits::Nobody) {
                         Waits::Ask(ask) => {
                             let event = postbarrow_node::Event::Answered(response);
-                            self.go_on(ask, at, event);
+                            let life = self.data[at].life;
+                            self.after(0, Event::Go { ask, data: at, life, event });
                         }
                         Waits::Caller { caller, number } => {
                             self.caller_hears(caller, number, response)
--- /dev/null
+++ b/crates/simulation/src/event.rs
@@ -0,0 +1,107 @@
+use crate::fault::Fault;
+use crate::world::World;
+use postbarrow_controller::PageResult;
+use postbarrow_messages::Envelope;
+use postbarrow_node::Event as GoEvent;
+use std::net::SocketAddr;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Who {
+    Control(usize),
+    Data(usize),
+}
+
+pub enum Event {
+    Pulse {
+        who: Who,
+        life: u64,
+    },
+    Deliver {
+        to: SocketAddr,
+        envelope: Envelope,
+    },
+    Synced {
+        at: usize,
+        life: u64,
+    },
+    ListRead {
+        at: usize,
+        life: u64,
+        number: u64,
+        cursor: Option<String>,
+    },
+    Page {
+        at: usize,
+        life: u64,
+        result: PageResult,
+    },
+    Encoded {
+        at: usize,
+        life: u64,
+        index: u64,
+        state: Vec<u8>,
+    },
+    Arrive {
+        ask: u64,
+        data: usize,
+        life: u64,
+    },
+    Go {
+        ask: u64,
+        data: usize,
+        life: u64,
+        event: GoEvent,
+    },
+    Send {
+        ask: u64,
+        data: usize,
+        life: u64,
+        untilMs: u64,
+    },
+    Run {
+        ask: u64,
+        data: usize,
+        life: u64,
+        instance: String,
+    },
+    Probe {
+        data: usize,
+        life: u64,
+    },
+    NextAsk,
+    NextCall {
+        caller: usize,
+    },
+    Operate,
+    Fault(Fault),
+    Wake(Who),
+    Start(Who),
+    /// Looks whether a process that was asked to stop has nothing left to do.
+    Leave {
+        who: Who,
+        life: u64,
+        sinceUs: u64,
+    },
+}
+
+impl World {
+    /// The process that an event needs awake.
+    pub fn whose(&self, event: &Event) -> Option<Who> {
+        match event {
+            Event::Pulse { who, .. } => Some(*who),
+            Event::Deliver { to, .. } => {
+                let control = self.control.iter().position(|machine| machine.address == *to);
+                let data = || self.data.iter().position(|machine| machine.address == *to);
+                control.map(Who::Control).or_else(|| data().map(Who::Data))
+            }
+            Event::Synced { at, .. } | Event::Page { at, .. } | Event::Encoded { at, .. } => {
+                Some(Who::Control(*at))
+            }
+            Event::Arrive { data, .. }
+            | Event::Go { data, .. }
+            | Event::Send { data, .. }
+            | Event::Probe { data, .. } => Some(Who::Data(*data)),
+            _ => None,
+        }
+    }
+}
--- a/crates/simulation/src/fault.rs
+++ b/crates/simulation/src/fault.rs
@@ -1,5 +1,18 @@
 use crate::list::Trouble;
 
+/// Between these, a node can stand still.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    Arrived,
+    Connected,
+    /// The ticket's response is there, the last look at the hold is not done.
+    Granted,
+    /// The course said 'pass'; the gate before the first byte is not asked.
+    Sending,
+    /// The target has run it, the response is not read.
+    Responded,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
     KillControl,
@@ -22,6 +35,8 @@
     FreezeTarget,
     DrainTarget,
     PassAddress,
+    /// A data node freezes at this step of a one-time ask, and wakes after every bound has passed.
+    FreezeAt(Stage),
     /// The platform's list itself is in trouble.
     List(Trouble),
     /// The controller itself, for measuring how long the others need.
@@ -35,7 +50,7 @@
     Heal,
 }
 
-pub const ALL: [Fault; 29] = [
+pub const ALL: [Fault; 34] = [
     Fault::KillControl,
     Fault::PowerLoss,
     Fault::PowerLossOfAll,
@@ -56,6 +71,11 @@
     Fault::FreezeTarget,
     Fault::DrainTarget,
     Fault::PassAddress,
+    Fault::FreezeAt(Stage::Arrived),
+    Fault::FreezeAt(Stage::Connected),
+    Fault::FreezeAt(Stage::Granted),
+    Fault::FreezeAt(Stage::Sending),
+    Fault::FreezeAt(Stage::Responded),
     Fault::List(Trouble::Slow),
     Fault::List(Trouble::Limited),
     Fault::List(Trouble::Down),
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -1,6 +1,9 @@
-use crate::fault::Fault;
-use crate::world::{Event, Who, World};
+use crate::event::{Event, Who};
+use crate::fault::{Fault, Stage};
+use crate::world::World;
 use postbarrow_constants::consensus::VOTERS;
+use postbarrow_messages::Response;
+use postbarrow_node::{Event as GoEvent, Passed};
 
 impl World {
     pub fn bring(&mut self, fault: Fault) {
@@ -55,6 +58,7 @@
             Fault::FreezeTarget => self.target_goes(|target| target.frozen = true),
             Fault::DrainTarget => self.drain(),
             Fault::PassAddress => self.pass_address(),
+            Fault::FreezeAt(stage) => self.freezeBefore = Some(stage),
             Fault::List(trouble) => self.trouble(trouble),
             Fault::KillController => self.end_control(leader.unwrap_or(some), false),
             Fault::SwapCore(at) => self.empty_disk(at, true),
@@ -79,6 +83,31 @@
         self.after(forUs, Event::Wake(who));
     }
 
+    pub fn freeze_before(&mut self, event: &Event) {
+        let Some(stage) = self.freezeBefore else { return };
+        let (data, ask, here) = match event {
+            Event::Arrive { data, ask, .. } => (*data, *ask, stage == Stage::Arrived),
+            Event::Send { data, ask, .. } => (*data, *ask, stage == Stage::Sending),
+            Event::Go { data, ask, event, .. } => {
+                let here = match event {
+                    GoEvent::Connected => stage == Stage::Connected,
+                    GoEvent::Answered(Response::Granted) => stage == Stage::Granted,
+                    GoEvent::Passed(Passed::Whole(_)) => stage == Stage::Responded,
+                    _ => false,
+                };
+                (*data, *ask, here)
+            }
+            _ => return,
+        };
+        let oneTime = self.asks.get(&ask).is_some_and(|run| run.service != "catalogue");
+        if here && oneTime && !self.frozen.contains_key(&Who::Data(data)) {
+            self.freezeBefore = None;
+            self.frozen.insert(Who::Data(data), Vec::new());
+            let forUs = self.random.between(3_000_000, 8_000_000);
+            self.after(forUs, Event::Wake(Who::Data(data)));
+        }
+    }
+
     fn isolate(&mut self, at: usize) {
         let cut = self.control[at].address.ip();
         for other in self.addresses() {
@@ -167,6 +196,7 @@
     /// All that was brought about ends: processes run, links carry, lists are true.
     pub fn heal(&mut self) {
         self.net.heal();
+        self.freezeBefore = None;
         self.list.heal(self.nowUs);
         let frozen: Vec<Who> = self.frozen.keys().copied().collect();
         frozen.into_iter().for_each(|who| self.wake(who));
--- a/crates/simulation/src/list.rs
+++ b/crates/simulation/src/list.rs
@@ -1,4 +1,5 @@
-use crate::world::{Event, World};
+use crate::event::Event;
+use crate::world::World;
 use postbarrow_controller::{Fetched, PageResult};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
--- a/crates/simulation/src/operator.rs
+++ b/crates/simulation/src/operator.rs
@@ -1,4 +1,5 @@
-use crate::world::{Event, World};
+use crate::event::Event;
+use crate::world::World;
 use postbarrow_desk::{Desk, Effect};
 use postbarrow_messages::{Ask, Envelope, Message, Response, Submission};
 use postbarrow_plan::Plan;
--- /dev/null
+++ b/crates/simulation/src/passing.rs
@@ -0,0 +1,82 @@
+use crate::event::{Event, Who};
+use crate::world::World;
+use postbarrow_node::{Passed, TargetResponse};
+use postbarrow_state::{Name, Target};
+
+/// The way from a node to a target and back.
+impl World {
+    /// The connection's other end says who it is before anything is sent.
+    pub fn connect(&mut self, ask: u64, data: usize, target: &Target) {
+        let life = self.data[data].life;
+        let found = self.target_at(target.address).map(|found| found.instance.clone());
+        if let Some(run) = self.asks.get_mut(&ask) {
+            run.connected = found;
+        }
+        let (tookUs, event) = match self.target_at(target.address) {
+            None => (600, postbarrow_node::Event::Unconnected("refused".into())),
+            Some(found) if found.frozen => {
+                (800_000, postbarrow_node::Event::Unconnected("no proof in time".into()))
+            }
+            Some(found) if found.instance != target.instance.as_str() => {
+                (1_200, postbarrow_node::Event::Unconnected("another target".into()))
+            }
+            Some(_) => (1_200, postbarrow_node::Event::Connected),
+        };
+        self.after(tookUs, Event::Go { ask, data, life, event });
+    }
+
+    /// The look right before the first byte, then the bytes.
+    pub fn send(&mut self, ask: u64, data: usize, untilMs: u64) {
+        let life = self.data[data].life;
+        let nowMs = self.local_ms(Who::Data(data));
+        let Some((target, load)) = self.asks.get(&ask).and_then(|run| run.target.clone()) else {
+            return;
+        };
+        let service = Name::from(self.asks[&ask].service);
+        let allowed = self.data[data].table.allows(&service, &target.instance);
+        if !(allowed && nowMs < untilMs && self.serves(data)) {
+            let event = postbarrow_node::Event::Passed(Passed::Unsent("the gate is shut".into()));
+            return self.after(0, Event::Go { ask, data, life, event });
+        }
+        self.check_pass(ask, data);
+        let Some(run) = self.asks.get_mut(&ask) else { return };
+        load.enter();
+        let Some(instance) = run.connected.clone() else { return };
+        let delayUs = self.random.between(200, 900);
+        self.after(delayUs, Event::Run { ask, data, life, instance });
+    }
+
+    /// The bytes reach the target, or the connection has broken under way: then nobody can say.
+    pub fn run(&mut self, ask: u64, data: usize, life: u64, instance: &str) {
+        let Some(run) = self.asks.get(&ask) else { return };
+        let (id, service) = (run.id, run.service);
+        if let Some((_, load)) = &run.target {
+            load.leave();
+        }
+        let lost = self.random.below(1_000);
+        let target = self.targets.iter().find(|target| target.instance == instance);
+        let Some((alive, frozen, lossy, kind)) = target.map(|target| {
+            (target.alive, target.frozen, target.lostPerMille, target.service.clone())
+        }) else {
+            return;
+        };
+        let failed = |late, why: &str| Passed::Unknown { late, why: why.into() };
+        let (tookUs, passed) = if !alive {
+            (300, failed(false, "broken"))
+        } else if frozen {
+            self.book.ran(id, instance, &kind, service, self.nowUs);
+            (4_000_000, failed(true, "late"))
+        } else {
+            self.book.ran(id, instance, &kind, service, self.nowUs);
+            let tookUs = self.random.between(1_000, 6_000);
+            if lost < lossy {
+                (tookUs, failed(false, "the response is lost"))
+            } else {
+                let headers = vec![("x-id".to_string(), id.to_string())];
+                (tookUs, Passed::Whole(TargetResponse { status: 200, headers, body: vec![1] }))
+            }
+        };
+        let event = postbarrow_node::Event::Passed(passed);
+        self.after(tookUs, Event::Go { ask, data, life, event });
+    }
+}
--- a/crates/simulation/src/roll.rs
+++ b/crates/simulation/src/roll.rs
@@ -1,4 +1,5 @@
-use crate::world::{Event, Who, World};
+use crate::event::{Event, Who};
+use crate::world::World;
 use postbarrow_constants::consensus::HAND_OVER_MS;
 use postbarrow_constants::traffic::{STOP_UNREADY_MS, STOP_WAIT_MS};
 use postbarrow_controller::Input as ControlInput;
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -1,8 +1,9 @@
 use crate::book::Told;
+use crate::event::Event;
 use crate::fault::{ALL, Fault};
 use crate::history::check_calls;
 use crate::random::Random;
-use crate::world::{Event, World};
+use crate::world::World;
 use std::collections::BTreeSet;
 
 /// What to bring about, from one seed.
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -3,92 +3,20 @@
 use crate::calls::Callers;
 use crate::control::ControlMachine;
 use crate::data::DataMachine;
-use crate::fault::Fault;
+use crate::event::{Event, Who};
+use crate::fault::Stage;
 use crate::list::PlatformList;
 use crate::net::Net;
 use crate::operator::Operator;
 use crate::random::Random;
 use crate::targets::Target;
 use postbarrow_constants::consensus::PULSE_MS;
-use postbarrow_controller::{Input as ControlInput, PageResult};
+use postbarrow_controller::Input as ControlInput;
 use postbarrow_messages::{Envelope, Message};
-use postbarrow_node::{Event as GoEvent, Input as DataInput};
+use postbarrow_node::Input as DataInput;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Who {
-    Control(usize),
-    Data(usize),
-}
-
-pub enum Event {
-    Pulse {
-        who: Who,
-        life: u64,
-    },
-    Deliver {
-        to: SocketAddr,
-        envelope: Envelope,
-    },
-    Synced {
-        at: usize,
-        life: u64,
-    },
-    ListRead {
-        at: usize,
-        life: u64,
-        number: u64,
-        cursor: Option<String>,
-    },
-    Page {
-        at: usize,
-        life: u64,
-        result: PageResult,
-    },
-    Encoded {
-        at: usize,
-        life: u64,
-        index: u64,
-        state: Vec<u8>,
-    },
-    Arrive {
-        ask: u64,
-        data: usize,
-        life: u64,
-    },
-    Go {
-        ask: u64,
-        data: usize,
-        life: u64,
-        event: GoEvent,
-    },
-    Run {
-        ask: u64,
-        data: usize,
-        life: u64,
-        instance: String,
-    },
-    Probe {
-        data: usize,
-        life: u64,
-    },
-    NextAsk,
-    NextCall {
-        caller: usize,
-    },
-    Operate,
-    Fault(Fault),
-    Wake(Who),
-    Start(Who),
-    /// Looks whether a process that was asked to stop has nothing left to do.
-    Leave {
-        who: Who,
-        life: u64,
-        sinceUs: u64,
-    },
-}
-
 /// A whole cluster with its surroundings, on one queue of events.
 pub struct World {
     pub nowUs: u64,
@@ -104,6 +32,8 @@
     pub book: Book,
     pub seeds: Vec<SocketAddr>,
     pub frozen: BTreeMap<Who, Vec<Event>>,
+    /// The next node about to take this step of an ask freezes right before it.
+    pub freezeBefore: Option<Stage>,
     pub nextAsk: u64,
     pub askPauseUs: u64,
     pub quiet: bool,
@@ -134,6 +64,7 @@
             book: Book::default(),
             seeds: (0..3).map(|at| address(1, at, 1)).collect(),
             frozen: BTreeMap::new(),
+            freezeBefore: None,
             nextAsk: 0,
             askPauseUs: 12_000,
             quiet: false,
@@ -213,26 +144,9 @@
         self.nowUs = untilUs;
     }
 
-    fn whose(&self, event: &Event) -> Option<Who> {
-        match event {
-            Event::Pulse { who, .. } => Some(*who),
-            Event::Deliver { to, .. } => {
-                let control = self.control.iter().position(|machine| machine.address == *to);
-                let data = || self.data.iter().position(|machine| machine.address == *to);
-                control.map(Who::Control).or_else(|| data().map(Who::Data))
-            }
-            Event::Synced { at, .. } | Event::Page { at, .. } | Event::Encoded { at, .. } => {
-                Some(Who::Control(*at))
-            }
-            Event::Arrive { data, .. } | Event::Go { data, .. } | Event::Probe { data, .. } => {
-                Some(Who::Data(*data))
-            }
-            _ => None,
-        }
-    }
-
     fn step(&mut self, event: Event) {
         let whose = self.whose(&event);
+        self.freeze_before(&event);
         if let Some(held) = whose.and_then(|who| self.frozen.get_mut(&who)) {
             return held.push(event);
         }
@@ -262,6 +176,11 @@
                     self.go_on(ask, data, event);
                 }
             }
+            Event::Send { ask, data, life, untilMs } => {
+                if self.data[data].life == life {
+                    self.send(ask, data, untilMs);
+                }
+            }
             Event::Run { ask, data, life, instance } => self.run(ask, data, life, &instance),
             Event::Probe { data, life } => self.probe(data, life),
             Event::NextAsk => self.next_ask(),
--- a/crates/simulation/tests/failures.rs
+++ b/crates/simulation/tests/failures.rs
@@ -1,6 +1,6 @@
 //! Each line of what fails, brought about in whole clusters over fixed seeds; `simulate` runs any number.
 
-use postbarrow_simulation::{ALL, Ended, Fault, Scenario, Trouble};
+use postbarrow_simulation::{ALL, Ended, Fault, Scenario, Stage, Trouble};
 
 fn check(name: &str, scenario: &Scenario) -> Ended {
     let ended = scenario.run();
@@ -45,6 +45,11 @@
     a_target_hangs: Fault::FreezeTarget,
     a_target_is_emptied_and_removed: Fault::DrainTarget,
     an_address_goes_to_another_service: Fault::PassAddress,
+    a_node_freezes_before_it_reads_an_ask: Fault::FreezeAt(Stage::Arrived),
+    a_node_freezes_before_it_asks_for_a_ticket: Fault::FreezeAt(Stage::Connected),
+    a_node_freezes_with_a_ticket_in_hand: Fault::FreezeAt(Stage::Granted),
+    a_node_freezes_before_the_first_byte: Fault::FreezeAt(Stage::Sending),
+    a_node_freezes_before_it_reads_the_response: Fault::FreezeAt(Stage::Responded),
     the_list_is_slow: Fault::List(Trouble::Slow),
     the_list_permits_little: Fault::List(Trouble::Limited),
     the_list_is_down: Fault::List(Trouble::Down),
--- a/crates/state/src/apply.rs
+++ b/crates/state/src/apply.rs
@@ -36,18 +36,23 @@
                 self.nodes.remove(incarnation);
             }
             Record::Ticket(ticket) => {
-                self.tickets.insert(ticket.key.clone(), Arc::new(ticket.clone()));
+                let old = self.tickets.insert(ticket.key.clone(), Arc::new(ticket.clone()));
+                self.keptBytes -= kept_bytes(old.as_ref());
             }
             Record::Settled { key, settlement, response } => {
                 if let Some(ticket) = self.tickets.get_mut(key) {
-                    let ticket = Arc::make_mut(ticket);
-                    ticket.settled = Some(*settlement);
-                    ticket.response = response.clone().map(Arc::new);
+                    self.keptBytes -= kept_bytes(Some(ticket));
+                    let settled = Arc::make_mut(ticket);
+                    settled.settled = Some(*settlement);
+                    settled.response = response.clone().map(Arc::new);
+                    settled.era = self.era;
+                    self.keptBytes += kept_bytes(Some(ticket));
                 }
             }
             Record::TicketsForgotten(keys) => {
                 for key in keys {
-                    self.tickets.remove(key);
+                    let old = self.tickets.remove(key);
+                    self.keptBytes -= kept_bytes(old.as_ref());
                 }
             }
             Record::Repeat { id, outcome } => {
@@ -64,6 +69,7 @@
                 }
                 self.historyFloor = self.historyFloor.max(*floor);
             }
+            Record::Era { by } => self.era += by,
             Record::Lock { name, holder, fence, ttlMs } => {
                 let lock = Lock { holder: holder.clone(), fence: *fence, ttlMs: *ttlMs };
                 self.locks.insert(name.clone(), lock);
@@ -90,6 +96,11 @@
     }
 }
 
+fn kept_bytes(ticket: Option<&Arc<Ticket>>) -> u64 {
+    let kept = ticket.and_then(|ticket| ticket.response.as_ref());
+    kept.map_or(0, |kept| kept.size() as u64)
+}
+
 impl State {
     fn tell(&mut self, name: &Name, change: Change) {
         self.revision += 1;
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -33,6 +33,11 @@
     pub historyFloor: u64,
     pub revision: u64,
     pub fence: u64,
+    #[serde(default)]
+    pub era: u64,
+    /// Bytes of kept responses in all.
+    #[serde(default)]
+    pub keptBytes: u64,
 }
 
 impl State {
--- a/crates/state/src/records.rs
+++ b/crates/state/src/records.rs
@@ -75,6 +75,13 @@
     pub body: Vec<u8>,
 }
 
+impl Kept {
+    pub fn size(&self) -> usize {
+        let headers = self.headers.iter().map(|(name, value)| name.len() + value.len());
+        headers.sum::<usize>() + self.body.len()
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Ticket {
     pub key: Name,
@@ -86,29 +93,64 @@
     pub number: u64,
     pub settled: Option<Settlement>,
     pub response: Option<Arc<Kept>>,
+    /// The log's own time when it was settled.
+    #[serde(default)]
+    pub era: u64,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Record {
-    PlanStart { version: Name, base: Option<Name> },
+    PlanStart {
+        version: Name,
+        base: Option<Name>,
+    },
     PlanText(#[serde(with = "serde_bytes")] Vec<u8>),
     Service(Service),
     Route(Route),
     Target(Target),
     TargetGone(Name),
-    TargetDown { instance: Name, down: bool },
+    TargetDown {
+        instance: Name,
+        down: bool,
+    },
     Node(Node),
     NodeGone(Incarnation),
     Ticket(Ticket),
-    Settled { key: Name, settlement: Settlement, response: Option<Kept> },
+    Settled {
+        key: Name,
+        settlement: Settlement,
+        response: Option<Kept>,
+    },
     TicketsForgotten(Vec<Name>),
-    Lock { name: Name, holder: Name, fence: u64, ttlMs: u64 },
-    LockFreed { name: Name },
-    Number { name: Name, value: u64 },
-    Key { name: Name, key: Option<Key> },
-    Repeat { id: Name, outcome: Outcome },
+    Lock {
+        name: Name,
+        holder: Name,
+        fence: u64,
+        ttlMs: u64,
+    },
+    LockFreed {
+        name: Name,
+    },
+    Number {
+        name: Name,
+        value: u64,
+    },
+    Key {
+        name: Name,
+        key: Option<Key>,
+    },
+    Repeat {
+        id: Name,
+        outcome: Outcome,
+    },
     RepeatsForgotten(Vec<Name>),
-    HistoryTrimmed { floor: u64 },
+    HistoryTrimmed {
+        floor: u64,
+    },
+    /// The log's own time goes on: so long, by its controllers' clocks, that none counted twice.
+    Era {
+        by: u64,
+    },
 }
 
 impl Record {
--- a/programs/data-plane/src/ask.rs
+++ b/programs/data-plane/src/ask.rs
@@ -1,6 +1,7 @@
 use crate::downstream::head::{Head, passed_on};
 use crate::share::Shared;
 use crate::upstream::Proved;
+use crate::wire::Gate;
 use postbarrow_constants::coordination::{SETTLE_WAIT_MS, TICKET_KEY_BYTES};
 use postbarrow_messages::Ask;
 use postbarrow_node::*;
@@ -12,7 +13,7 @@
 
 /// Drives the course of one ask on this thread.
 pub fn run(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     entry: Arc<Entry>,
     head: &Head,
     body: Vec<u8>,
@@ -24,7 +25,8 @@
     let go = Go {
         key: match key {
             Some(key) => Name::from(key),
-            None => Name::from(format!("{:016x}:{number}", shared.own.incarnation)),
+            None if oneTime => shared.made_key(),
+            None => Name::default(),
         },
         keyed: key.is_some(),
         digest: if oneTime { digest(head, &body) } else { [0; 32] },
@@ -34,8 +36,10 @@
         seed: shared.own.incarnation ^ number,
     };
     let headers = passed_on(&head.headers);
+    let service = entry.route().service.clone();
     let mut course = Course::new(go, entry);
-    let mut work = Work { shared, head, headers, body, proved: None, target: None, load: None };
+    let mut work =
+        Work { shared, service, head, headers, body, proved: None, target: None, load: None };
     let mut event = Event::Start;
     loop {
         let table = shared.table.load_full();
@@ -50,7 +54,7 @@
             Step::AskTicket { ticket, waitMs } => {
                 Event::Answered(shared.ask(Ask::Ticket(ticket), waitMs))
             }
-            Step::Pass { waitMs } => Event::Passed(work.pass(waitMs)),
+            Step::Pass { waitMs, untilMs } => Event::Passed(work.pass(waitMs, untilMs)),
             Step::Settle { ticket, settlement, response, waitMs } => {
                 let settle = Ask::Settle { ticket, settlement, response };
                 Event::Answered(shared.ask(settle, waitMs))
@@ -67,7 +71,8 @@
 }
 
 struct Work<'a> {
-    shared: &'a Shared,
+    shared: &'a Arc<Shared>,
+    service: Name,
     head: &'a Head,
     headers: Vec<(String, String)>,
     body: Vec<u8>,
@@ -97,13 +102,14 @@
         }
     }
 
-    fn pass(&mut self, waitMs: u64) -> Passed {
+    fn pass(&mut self, waitMs: u64, untilMs: u64) -> Passed {
         let (Some(proved), Some(target), Some(load)) =
             (self.proved.take(), &self.target, &self.load)
         else {
             return Passed::Unsent("no connection".into());
         };
         let head = self.head;
+        proved.gate(self.gate(target.instance.clone(), untilMs));
         load.enter();
         let (passed, back) =
             proved.pass(&head.method, &head.target, &self.headers, &self.body, waitMs);
@@ -113,6 +119,14 @@
         }
         passed
     }
+    /// Looked at right before the first byte: hold, target and ticket must still stand.
+    fn gate(&self, instance: Name, untilMs: u64) -> Gate {
+        let (shared, service) = (self.shared.clone(), self.service.clone());
+        Box::new(move || {
+            let allowed = shared.table.load().allows(&service, &instance);
+            allowed && now_ms() < untilMs && shared.serves()
+        })
+    }
 }
 
 /// What makes two requests under one key the same request.
@@ -131,6 +145,5 @@
         && keys.clone().all(|(_, key)| {
             (1..=TICKET_KEY_BYTES).contains(&key.len())
                 && key.bytes().all(|byte| byte.is_ascii_graphic())
-                && !key.contains(':')
         })
 }
--- a/programs/data-plane/src/calls.rs
+++ b/programs/data-plane/src/calls.rs
@@ -46,7 +46,10 @@
 }
 
 pub fn error(status: u16, why: &str) -> TargetResponse {
-    let outcome = if matches!(status, 502 | 504) { "unknown" } else { "not-run" };
+    refused(status, if status == 504 { "unknown" } else { "not-run" }, why)
+}
+
+pub fn refused(status: u16, outcome: &str, why: &str) -> TargetResponse {
     let told = Told { error: Some(why.into()), outcome: Some(outcome.into()), ..Told::default() };
     let mut response = json(status, &told);
     response.headers.push((postbarrow_node::OUTCOME.into(), outcome.into()));
@@ -89,11 +92,12 @@
     let Some(_place) = Place::take(&shared.calls, COORDINATION_ASKS) else {
         return error(503, "this node is full");
     };
-    let id = match head.header("idempotency-key") {
-        Some(key) if key.len() <= TICKET_KEY_BYTES => repeat_id(key, &call),
-        Some(_) => return error(400, "the Idempotency-Key is too long"),
-        None => Name::from(format!("{:016x}:{}", shared.own.incarnation, shared.number())),
-    };
+    let given = head.header("idempotency-key");
+    if given.is_some_and(|key| key.len() > TICKET_KEY_BYTES) {
+        return error(400, "the Idempotency-Key is too long");
+    }
+    let key = given.map_or_else(|| shared.made_key(), Name::from);
+    let id = repeat_id(&key, &call);
     let reads =
         matches!(call, Call::ReadKey { .. } | Call::ReadLock { .. } | Call::ReadNumber { .. });
     let response = shared.ask(Ask::Call { id: Some(id), call }, ASK_CONTROLLER_MS);
@@ -101,7 +105,16 @@
         Response::Outcome(outcome) => tell(outcome),
         Response::Refused(why) => error(400, &why),
         _ if reads => error(503, "no controller responds"),
-        _ => error(504, "no word from the controller; a repeat under one Idempotency-Key is safe"),
+        Response::Full => error(503, "the log has no space for more calls"),
+        _ => {
+            let why = "no word from the controller; a repeat under one Idempotency-Key is safe";
+            let mut response = error(504, why);
+            if given.is_none() {
+                response.headers.retain(|(name, _)| name != "Retry-After");
+                response.headers.push((postbarrow_node::KEY.into(), key.to_string()));
+            }
+            response
+        }
     }
 }
 
--- a/programs/data-plane/src/downstream/listen.rs
+++ b/programs/data-plane/src/downstream/listen.rs
@@ -9,7 +9,8 @@
 use std::sync::atomic::Ordering::SeqCst;
 use std::thread;
 
-const FULL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nPostbarrow-Outcome: not-run\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+/// Nothing of it was read, so it may be the repeat of one that ran.
+const FULL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nPostbarrow-Outcome: unknown\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 
 /// Takes client connections, each on a small thread, up to a bound.
 pub fn listen(listener: TcpListener, shared: Arc<Shared>) -> std::io::Result<()> {
--- a/programs/data-plane/src/downstream/serve.rs
+++ b/programs/data-plane/src/downstream/serve.rs
@@ -12,13 +12,17 @@
 use std::sync::atomic::Ordering::Relaxed;
 
 /// Serves one client connection until either side ends it.
-pub fn serve(mut connection: Connection, shared: &Shared) {
+pub fn serve(mut connection: Connection, shared: &Arc<Shared>) {
     loop {
         let head = match connection.next(|| shared.closed.load(Relaxed)) {
             Next::Head(head) => head,
             Next::Closed => return,
-            Next::Reject(reject) => return refuse(&mut connection, reject),
+            Next::Reject(reject) => {
+                let unsure = matches!(reject.status, 408 | 431);
+                return refuse(&mut connection, reject, unsure);
+            }
         };
+        let keyed = head.header("idempotency-key").is_some();
         let last = |head: &Head| head.close || shared.stopping.load(Relaxed);
         match one(&mut connection, shared, &head) {
             Ok(response) => {
@@ -31,14 +35,16 @@
                 let _ = connection.write(&response, &head.method, true);
                 return connection.linger();
             }
-            Err(Unread::Rejected(reject)) => return refuse(&mut connection, reject),
+            Err(Unread::Rejected(reject)) => return refuse(&mut connection, reject, keyed),
         }
     }
 }
 
-fn refuse(connection: &mut Connection, reject: Reject) {
+/// This go never ran; whether an earlier one under its key did, nobody here can say.
+fn refuse(connection: &mut Connection, reject: Reject, keyed: bool) {
     if reject.status != 0 {
-        let response = calls::error(reject.status, reject.why);
+        let outcome = if keyed { "unknown" } else { "not-run" };
+        let response = calls::refused(reject.status, outcome, reject.why);
         let _ = connection.write(&response, "GET", true);
         connection.linger();
     }
@@ -52,7 +58,7 @@
 
 fn one(
     connection: &mut Connection,
-    shared: &Shared,
+    shared: &Arc<Shared>,
     head: &Head,
 ) -> Result<TargetResponse, Unread> {
     let startMs = now_ms();
@@ -64,7 +70,8 @@
         let body = read_body(connection, shared, head, calls::BODY_BYTES)?;
         return Ok(calls::serve(shared, head, &body.bytes, || connection.is_gone()));
     }
-    let turned = |about: About, told| Unread::Refused(Verdict { told, about }.into_response());
+    let turned =
+        |about: About, told| Unread::Refused(Verdict { told, about, key: None }.into_response());
     let keyed = head.header("idempotency-key").is_some();
     let unread = About { oneTime: keyed, keyed, proved: false };
     if !shared.serves() {
--- a/programs/data-plane/src/share.rs
+++ b/programs/data-plane/src/share.rs
@@ -5,8 +5,9 @@
 use postbarrow_constants::traffic::BODIES_BYTES;
 use postbarrow_messages::{Ask, Response};
 use postbarrow_routing::Table;
-use postbarrow_state::Node;
-use postbarrow_transport::now_ms;
+use postbarrow_state::{Name, Node};
+use postbarrow_transport::{now_ms, random};
+use sha2::{Digest as _, Sha256};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::*};
 use std::sync::mpsc::{Sender, sync_channel};
@@ -27,6 +28,8 @@
     pub watches: AtomicUsize,
     pub downstreams: AtomicUsize,
     number: AtomicU64,
+    /// Known to nobody else: made-up keys can't be guessed.
+    secret: [u64; 2],
     commands: Sender<Command>,
 }
 
@@ -45,6 +48,7 @@
             watches: AtomicUsize::new(0),
             downstreams: AtomicUsize::new(0),
             number: AtomicU64::new(1),
+            secret: [random(), random()],
             commands,
         }
     }
@@ -62,6 +66,18 @@
         self.number.fetch_add(1, Relaxed)
     }
 
+    /// A key for an ask that came without one; no other ask gets it, and no client can guess it.
+    pub fn made_key(&self) -> Name {
+        let number = self.number();
+        let mut hash = Sha256::new();
+        for part in [self.secret[0], self.secret[1], self.own.incarnation, number] {
+            hash.update(part.to_le_bytes());
+        }
+        let hash = hash.finalize();
+        let secret: String = hash.iter().take(12).map(|byte| format!("{byte:02x}")).collect();
+        Name::from(format!("made-{:x}-{number}-{secret}", self.own.incarnation))
+    }
+
     /// Asks the controller and waits for its response or the end of the time.
     pub fn ask(&self, ask: Ask, waitMs: u64) -> Response {
         let (reply, response) = sync_channel(1);
--- a/programs/data-plane/src/tests/mod.rs
+++ b/programs/data-plane/src/tests/mod.rs
@@ -1,4 +1,5 @@
 mod answers;
 mod asks;
+mod promises;
 mod rig;
 mod traps;
--- /dev/null
+++ b/programs/data-plane/src/tests/promises.rs
@@ -0,0 +1,87 @@
+use super::rig::*;
+use crate::upstream::Proved;
+use postbarrow_messages::{Ask, Response};
+use postbarrow_node::Passed;
+
+fn header(told: &str, name: &str) -> Option<String> {
+    let line = told.lines().find(|line| line.to_ascii_lowercase().starts_with(name))?;
+    Some(line.split_once(": ")?.1.to_string())
+}
+
+fn keys(rig: &Rig) -> Vec<String> {
+    let asked = rig.asked.lock().unwrap();
+    let keys = asked.iter().filter_map(|ask| match ask {
+        Ask::Ticket(ticket) => Some(ticket.key.to_string()),
+        _ => None,
+    });
+    keys.collect()
+}
+
+#[test]
+fn who_came_without_a_key_is_told_under_which_a_repeat_is_safe() {
+    let found = ScriptedTarget::start("s-1", "s", vec![Script::Raw(Vec::new())]);
+    let rig = Rig::new(vec![target("s-1", "s", found.address)], yes);
+    let told = rig.post("", "a");
+    assert!(told.contains("Postbarrow-Outcome: unknown"), "{told}");
+    let key = header(&told, "postbarrow-key:").expect("the made-up key is told");
+    assert_eq!(header(&told, "retry-after:"), None, "another try without the key is not safe");
+    assert_eq!(keys(&rig), [key.as_str()]);
+    rig.post(&format!("Idempotency-Key: {key}\r\n"), "a");
+    assert_eq!(keys(&rig), [key.as_str(), key.as_str()], "a repeat asks for the same ticket");
+    let other = header(&rig.post("", "a"), "postbarrow-key:").unwrap();
+    assert_ne!(other, key);
+    let common = other.bytes().zip(key.bytes()).rev().take_while(|(a, b)| a == b).count();
+    assert!(common < 6, "a key can't be guessed from another: {key} {other}");
+    let keyed = rig.post("Idempotency-Key: mine\r\n", "a");
+    assert_eq!(header(&keyed, "postbarrow-key:"), None);
+    assert!(header(&keyed, "retry-after:").is_some(), "its own key makes another try safe");
+}
+
+#[test]
+fn a_repeat_that_is_turned_away_unread_is_never_told_not_run() {
+    let found = ScriptedTarget::start("s-1", "s", vec![Script::Whole("fine")]);
+    let rig = Rig::new(vec![target("s-1", "s", found.address)], yes);
+    let bad = |key: &str| {
+        let head = format!("POST /post/1 HTTP/1.1\r\nHost: h\r\n{key}Transfer-Encoding: chunked");
+        rig.raw(format!("{head}\r\n\r\nzz\r\n").as_bytes())
+    };
+    assert!(bad("").contains("Postbarrow-Outcome: not-run"));
+    let keyed = bad("Idempotency-Key: k\r\n");
+    assert!(keyed.starts_with("HTTP/1.1 400"), "{keyed}");
+    assert!(keyed.contains("Postbarrow-Outcome: unknown"), "{keyed}");
+    assert_eq!(found.runs(), 0);
+}
+
+#[test]
+fn a_shut_gate_lets_no_byte_out_and_an_open_one_is_asked_once() {
+    let found = ScriptedTarget::start("s-1", "s", vec![Script::Whole("fine")]);
+    let to = target("s-1", "s", found.address);
+    let (proved, _) = Proved::open(&to).unwrap();
+    proved.gate(Box::new(|| false));
+    let (passed, back) = proved.pass("POST", "/post/1", &[], b"a", 1_000);
+    assert!(matches!(passed, Passed::Unsent(_)) && back.is_none(), "{passed:?}");
+    assert_eq!(found.runs(), 0);
+    let (proved, _) = Proved::open(&to).unwrap();
+    proved.gate(Box::new(|| true));
+    let body = vec![7; 300_000];
+    let (passed, back) = proved.pass("POST", "/post/1", &[], &body, 5_000);
+    assert!(matches!(passed, Passed::Whole(_)) && back.is_some(), "{passed:?}");
+    assert_eq!(found.seen.lock().unwrap().bodies[0].len(), body.len());
+}
+
+#[test]
+fn a_log_without_space_is_told_as_not_run_with_a_time_to_come_back() {
+    let found = ScriptedTarget::start("s-1", "s", vec![Script::Whole("fine")]);
+    let full = |ask: &Ask| match ask {
+        Ask::Ticket(_) => Response::Full,
+        ask => yes(ask),
+    };
+    let rig = Rig::new(vec![target("s-1", "s", found.address)], full);
+    for key in ["", "Idempotency-Key: k\r\n"] {
+        let told = rig.post(key, "a");
+        assert!(told.starts_with("HTTP/1.1 503"), "{told}");
+        assert!(told.contains("Postbarrow-Outcome: not-run"), "{told}");
+        assert!(header(&told, "retry-after:").is_some());
+    }
+    assert_eq!(found.runs(), 0);
+}
--- a/programs/data-plane/src/upstream.rs
+++ b/programs/data-plane/src/upstream.rs
@@ -1,4 +1,4 @@
-use crate::wire::{OnceConnector, Wire};
+use crate::wire::{Gate, OnceConnector, Wire};
 use crossbeam_queue::ArrayQueue;
 use postbarrow_constants::traffic::*;
 use postbarrow_node::{Passed, TargetResponse};
@@ -108,6 +108,10 @@
         Ok(proof.occupancy)
     }
 
+    pub fn gate(&self, gate: Gate) {
+        self.wire.gate(gate);
+    }
+
     /// Passes an ask on, once. The connection comes back only if it can be used again.
     pub fn pass(
         mut self,
--- a/programs/data-plane/src/wire.rs
+++ b/programs/data-plane/src/wire.rs
@@ -1,3 +1,4 @@
+use arc_swap::ArcSwapOption;
 use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::*};
@@ -6,10 +7,14 @@
 };
 
 /// What is known of one connection from outside the library that drives it.
-#[derive(Debug, Default)]
+/// Whether what waits may still go out.
+pub type Gate = Box<dyn Fn() -> bool + Send + Sync>;
+
+#[derive(Default)]
 pub struct Wire {
     opened: AtomicBool,
     sent: AtomicU64,
+    gate: ArcSwapOption<Gate>,
 }
 
 impl Wire {
@@ -17,6 +22,11 @@
     pub fn sent(&self) -> u64 {
         self.sent.load(Acquire)
     }
+
+    /// Asked once, before the next first byte.
+    pub fn gate(&self, gate: Gate) {
+        self.gate.store(Some(Arc::new(gate)));
+    }
 }
 
 /// Connects once. A second connect would be to somebody unproved, so it is refused.
@@ -53,6 +63,12 @@
     wire: Arc<Wire>,
 }
 
+impl fmt::Debug for Wire {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "Wire({})", self.sent())
+    }
+}
+
 impl<T> fmt::Debug for Counted<T> {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(out, "Counted({})", self.wire.sent())
@@ -66,6 +82,9 @@
 
     /// Counted before it is tried: a failed write may have sent some.
     fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), ureq::Error> {
+        if self.wire.gate.swap(None).is_some_and(|gate| !gate()) {
+            return Err(ureq::Error::ConnectionFailed);
+        }
         self.wire.sent.fetch_add(amount as u64, AcqRel);
         self.inner.transmit_output(amount, timeout)
     }
