Renew a disk's files at start; fail, fill and slow disks, skew clocks in runs

Cause: after a failed sync the system may take pages for written that are not. They read back until the power goes. A member that started again on such a disk built on entries that only memory held, and lost acknowledged ones with the power (what_a_failed_sync_left_is_written_anew_or_not_read_back, failing). Ruled out: trying the sync again, which says yes for nothing; taking every disk with a failure for empty, which costs a member for a passing error. Change: a start writes and syncs the same bytes in their places before anyone may build on them. The simulator's disks fail a sync or a write, are full or slow; its clocks differ in rate by up to a hundredth.

--- a/crates/simulation/src/control.rs
+++ b/crates/simulation/src/control.rs
@@ -11,6 +11,8 @@
 use std::sync::Arc;
 
 /// Small, so that every run writes slots and a late member needs a snapshot.
+const AGAIN_US: u64 = 500_000;
+
 const LOG_BOUND_BYTES: u64 = 48 * 1024;
 
 /// One control machine: its disk stays, its process comes and goes.
@@ -19,6 +21,8 @@
     pub disk: SimDisk,
     pub life: u64,
     pub offsetMs: u64,
+    /// By how many thousandths its clock is fast.
+    pub rate: u64,
     pub node: Option<ControlNode>,
     storage: Option<Storage<SimDisk>>,
     writes: VecDeque<(u64, Write)>,
@@ -28,12 +32,13 @@
 }
 
 impl ControlMachine {
-    pub fn new(address: SocketAddr, offsetMs: u64) -> Self {
+    pub fn new(address: SocketAddr, offsetMs: u64, rate: u64) -> Self {
         ControlMachine {
             address,
             disk: SimDisk::default(),
             life: 0,
             offsetMs,
+            rate,
             node: None,
             storage: None,
             writes: VecDeque::new(),
@@ -53,14 +58,17 @@
             seeds[2] = self.data[0].address;
         }
         let machine = &mut self.control[at];
-        let opened = open(machine.disk.clone()).expect("the simulated disk opens");
-        let (storage, recovered) = match opened {
-            Opened::Whole { storage, recovered } => (storage, recovered),
+        let opened = open(machine.disk.clone()).and_then(|opened| match opened {
+            Opened::Whole { storage, recovered } => Ok((storage, recovered)),
             Opened::Empty(disk) | Opened::Damaged { disk, .. } => {
-                let made = Storage::create(disk, id).expect("an empty disk takes a slot");
-                (made, Recovered::default())
+                Storage::create(disk, id).map(|made| (made, Recovered::default()))
             }
+        });
+        let (storage, recovered) = match opened {
+            Ok(opened) => opened,
+            Err(error) => return self.disk_failed(at, &error),
         };
+        let machine = &mut self.control[at];
         let own = Member { id: storage.id(), address: machine.address };
         machine.life += 1;
         machine.storage = Some(storage);
@@ -106,7 +114,10 @@
                     machine.writes.push_back((sequence, write));
                     if !machine.syncing {
                         machine.syncing = true;
-                        let tookUs = self.random.between(300, 4_000);
+                        let tookUs = match self.slowDisks {
+                            true => self.random.between(10_000, 50_000),
+                            false => self.random.between(300, 4_000),
+                        };
                         self.after(tookUs, Event::Synced { at, life });
                     }
                 }
@@ -121,6 +132,14 @@
         self.check_control(at);
     }
 
+    /// As the program does: it ends, for it can't promise anything, and is begun again.
+    fn disk_failed(&mut self, at: usize, error: &std::io::Error) {
+        self.say(Who::Control(at), &format!("ends: {error}"));
+        self.diskFailures += 1;
+        self.end_control(at, false);
+        self.after(AGAIN_US, Event::Start(Who::Control(at)));
+    }
+
     /// All that waited shares this sync.
     pub fn disk_done(&mut self, at: usize) {
         let machine = &mut self.control[at];
@@ -128,7 +147,13 @@
         let Some(last) = machine.writes.back().map(|(sequence, _)| *sequence) else { return };
         let writes: Vec<Write> = machine.writes.drain(..).map(|(_, write)| write).collect();
         let Some(storage) = &mut machine.storage else { return };
-        storage.apply(writes).expect("the simulated disk writes");
-        self.control_input(at, Input::Synced(last));
+        let count = writes.len();
+        match storage.apply(writes) {
+            Ok(()) => {
+                self.synced = (self.synced.0 + 1, self.synced.1 + count);
+                self.control_input(at, Input::Synced(last));
+            }
+            Err(error) => self.disk_failed(at, &error),
+        }
     }
 }
--- a/crates/simulation/src/data.rs
+++ b/crates/simulation/src/data.rs
@@ -20,6 +20,8 @@
     pub zone: Name,
     pub life: u64,
     pub offsetMs: u64,
+    /// By how many thousandths its clock is fast.
+    pub rate: u64,
     pub node: Option<DataNode>,
     pub table: Arc<Table>,
     pub holdUntilMs: u64,
@@ -32,12 +34,13 @@
 }
 
 impl DataMachine {
-    pub fn new(at: usize, offsetMs: u64) -> Self {
+    pub fn new(at: usize, offsetMs: u64, rate: u64) -> Self {
         DataMachine {
             address: address(2, at, 1),
             zone: Name::from(["a", "b", "c"][at % 3]),
             life: 0,
             offsetMs,
+            rate,
             node: None,
             table: Arc::new(Table::empty()),
             holdUntilMs: 0,
--- a/crates/simulation/src/disk.rs
+++ b/crates/simulation/src/disk.rs
@@ -23,9 +23,21 @@
     files: BTreeMap<String, SimFile>,
     /// Operations left before the power goes; None for plenty.
     fuse: Option<u64>,
+    trouble: Option<DiskTrouble>,
     syncs: u64,
 }
 
+/// What a disk does to the process that uses it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiskTrouble {
+    /// One sync fails. What it should have kept is forgotten as due, though it still reads back.
+    SyncFails,
+    /// One write fails halfway.
+    WriteFails,
+    /// No write has space until this is healed.
+    Full,
+}
+
 /// A disk in memory that outlives its process and loses what was not synced.
 #[derive(Clone, Default)]
 pub struct SimDisk(Rc<RefCell<Files>>);
@@ -75,6 +87,20 @@
         self.0.borrow_mut().fuse = Some(operations);
     }
 
+    pub fn set_trouble(&self, trouble: Option<DiskTrouble>) {
+        self.0.borrow_mut().trouble = trouble;
+    }
+
+    /// Whether this operation meets its trouble; all but a full disk pass.
+    fn meets(&self, trouble: DiskTrouble) -> bool {
+        let mut files = self.0.borrow_mut();
+        let met = files.trouble == Some(trouble);
+        if met && trouble != DiskTrouble::Full {
+            files.trouble = None;
+        }
+        met
+    }
+
     pub fn syncs(&self) -> u64 {
         self.0.borrow().syncs
     }
@@ -108,11 +134,26 @@
 
     fn change(&self, name: &str, op: Op) -> io::Result<()> {
         self.burn()?;
+        if self.meets(DiskTrouble::Full) {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        let op = match op {
+            Op::Write { offset, bytes } if self.meets(DiskTrouble::WriteFails) => {
+                let part = bytes[..bytes.len() / 2].to_vec();
+                self.carry(name, Op::Write { offset, bytes: part });
+                return Err(io::Error::other("the write failed"));
+            }
+            op => op,
+        };
+        self.carry(name, op);
+        Ok(())
+    }
+
+    fn carry(&self, name: &str, op: Op) {
         let mut files = self.0.borrow_mut();
         let file = files.files.entry(name.to_string()).or_default();
         carry_out(&mut file.seen, &op);
         file.unsynced.push(op);
-        Ok(())
     }
 }
 
@@ -131,11 +172,16 @@
 
     fn sync(&mut self, file: &str) -> io::Result<()> {
         self.burn()?;
+        let failed = self.meets(DiskTrouble::SyncFails);
         let mut files = self.0.borrow_mut();
         files.syncs += 1;
-        if let Some(file) = files.files.get_mut(file) {
-            file.durable = file.seen.clone();
-            file.unsynced.clear();
+        let Some(file) = files.files.get_mut(file) else { return Ok(()) };
+        let due = std::mem::take(&mut file.unsynced);
+        if failed {
+            return Err(io::Error::other("the sync failed"));
+        }
+        for op in &due {
+            carry_out(&mut file.durable, op);
         }
         Ok(())
     }
--- a/crates/simulation/src/fault.rs
+++ b/crates/simulation/src/fault.rs
@@ -1,3 +1,4 @@
+use crate::disk::DiskTrouble;
 use crate::list::Trouble;
 
 /// Between these, a node can stand still.
@@ -35,6 +36,10 @@
     FreezeTarget,
     DrainTarget,
     PassAddress,
+    /// A control machine's disk is in trouble, and its process ends of it.
+    Disk(DiskTrouble),
+    /// Every sync takes 10 to 50 ms.
+    SlowDisks,
     /// A data node freezes at this step of a one-time ask, and wakes after every bound has passed.
     FreezeAt(Stage),
     /// The platform's list itself is in trouble.
@@ -50,7 +55,7 @@
     Heal,
 }
 
-pub const ALL: [Fault; 34] = [
+pub const ALL: [Fault; 38] = [
     Fault::KillControl,
     Fault::PowerLoss,
     Fault::PowerLossOfAll,
@@ -71,6 +76,10 @@
     Fault::FreezeTarget,
     Fault::DrainTarget,
     Fault::PassAddress,
+    Fault::Disk(DiskTrouble::SyncFails),
+    Fault::Disk(DiskTrouble::WriteFails),
+    Fault::Disk(DiskTrouble::Full),
+    Fault::SlowDisks,
     Fault::FreezeAt(Stage::Arrived),
     Fault::FreezeAt(Stage::Connected),
     Fault::FreezeAt(Stage::Granted),
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -58,6 +58,8 @@
             Fault::FreezeTarget => self.target_goes(|target| target.frozen = true),
             Fault::DrainTarget => self.drain(),
             Fault::PassAddress => self.pass_address(),
+            Fault::Disk(trouble) => self.control[control].disk.set_trouble(Some(trouble)),
+            Fault::SlowDisks => self.slowDisks = true,
             Fault::FreezeAt(stage) => self.freezeBefore = Some(stage),
             Fault::List(trouble) => self.trouble(trouble),
             Fault::KillController => self.end_control(leader.unwrap_or(some), false),
@@ -196,6 +198,8 @@
     /// All that was brought about ends: processes run, links carry, lists are true.
     pub fn heal(&mut self) {
         self.net.heal();
+        self.slowDisks = false;
+        self.control.iter().for_each(|machine| machine.disk.set_trouble(None));
         self.freezeBefore = None;
         self.list.heal(self.nowUs);
         let frozen: Vec<Who> = self.frozen.keys().copied().collect();
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -22,7 +22,7 @@
 mod targets;
 mod world;
 
-pub use disk::SimDisk;
+pub use disk::{DiskTrouble, SimDisk};
 pub use fault::{ALL, Fault, Stage};
 pub use list::Trouble;
 pub use random::Random;
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -47,6 +47,8 @@
     pub digest: u64,
     pub members: Vec<String>,
     pub snapshots: usize,
+    pub synced: (usize, usize),
+    pub diskFailures: usize,
     pub log: Vec<String>,
 }
 
@@ -181,6 +183,8 @@
         node.consensus().members().iter().map(|member| member.address.to_string()).collect()
     });
     outcome.snapshots = world.snapshots;
+    outcome.synced = world.synced;
+    outcome.diskFailures = world.diskFailures;
     outcome.digest = world.digest;
     outcome.log = world.log.take().unwrap_or_default();
 }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -17,6 +17,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// Clocks run up to a hundredth faster than true time: far more than any machine's does.
+const RATE_SCALE: u64 = 1_000;
+const RATE_MOST: u64 = 11;
+
 /// A whole cluster with its surroundings, on one queue of events.
 pub struct World {
     pub nowUs: u64,
@@ -40,6 +44,10 @@
     pub log: Option<Vec<String>>,
     pub digest: u64,
     pub snapshots: usize,
+    pub slowDisks: bool,
+    /// Syncs that were done, and the writes that shared them.
+    pub synced: (usize, usize),
+    pub diskFailures: usize,
     queue: BTreeMap<(u64, u64), Event>,
     order: u64,
 }
@@ -71,16 +79,21 @@
             log: None,
             digest: 0,
             snapshots: 0,
+            slowDisks: false,
+            synced: (0, 0),
+            diskFailures: 0,
             queue: BTreeMap::new(),
             order: 0,
         };
         for at in 0..3 {
             let offsetMs = world.random.below(1_000_000);
-            world.control.push(ControlMachine::new(address(1, at, 1), offsetMs));
+            let rate = world.random.below(RATE_MOST);
+            world.control.push(ControlMachine::new(address(1, at, 1), offsetMs, rate));
         }
         for at in 0..dataNodes {
             let offsetMs = world.random.below(1_000_000);
-            world.data.push(DataMachine::new(at, offsetMs));
+            let rate = world.random.below(RATE_MOST);
+            world.data.push(DataMachine::new(at, offsetMs, rate));
         }
         for at in 0..targets {
             world.add_target(["catalogue", "ledger", "photos"][at % 3], None);
@@ -109,13 +122,13 @@
         self.queue.insert((atUs, self.order), event);
     }
 
-    /// A process's own clock: it shares no zero with any other.
+    /// A process's own clock: it shares neither zero nor rate with any other.
     pub fn local_ms(&self, who: Who) -> u64 {
-        let offsetMs = match who {
-            Who::Control(at) => self.control[at].offsetMs,
-            Who::Data(at) => self.data[at].offsetMs,
+        let (offsetMs, rate) = match who {
+            Who::Control(at) => (self.control[at].offsetMs, self.control[at].rate),
+            Who::Data(at) => (self.data[at].offsetMs, self.data[at].rate),
         };
-        self.nowUs / 1_000 + offsetMs
+        (self.nowUs + self.nowUs * rate / RATE_SCALE) / 1_000 + offsetMs
     }
 
     pub fn transmit(&mut self, from: SocketAddr, to: SocketAddr, message: Message) {
--- a/crates/simulation/tests/failures.rs
+++ b/crates/simulation/tests/failures.rs
@@ -1,6 +1,6 @@
 //! Each line of what fails, brought about in whole clusters over fixed seeds; `simulate` runs any number.
 
-use postbarrow_simulation::{ALL, Ended, Fault, Scenario, Stage, Trouble};
+use postbarrow_simulation::{ALL, DiskTrouble, Ended, Fault, Scenario, Stage, Trouble};
 
 fn check(name: &str, scenario: &Scenario) -> Ended {
     let ended = scenario.run();
@@ -45,6 +45,10 @@
     a_target_hangs: Fault::FreezeTarget,
     a_target_is_emptied_and_removed: Fault::DrainTarget,
     an_address_goes_to_another_service: Fault::PassAddress,
+    a_sync_fails: Fault::Disk(DiskTrouble::SyncFails),
+    a_write_fails_halfway: Fault::Disk(DiskTrouble::WriteFails),
+    a_disk_is_full: Fault::Disk(DiskTrouble::Full),
+    every_sync_is_slow: Fault::SlowDisks,
     a_node_freezes_before_it_reads_an_ask: Fault::FreezeAt(Stage::Arrived),
     a_node_freezes_before_it_asks_for_a_ticket: Fault::FreezeAt(Stage::Connected),
     a_node_freezes_with_a_ticket_in_hand: Fault::FreezeAt(Stage::Granted),
--- a/crates/storage/src/recover.rs
+++ b/crates/storage/src/recover.rs
@@ -46,13 +46,21 @@
             };
             let mut storage = storage;
             let turn = storage.turn();
-            storage.disk.truncate(LOGS[turn], replayed.bytes)?;
-            storage.disk.sync(LOGS[turn])?;
+            renew(&mut storage.disk, LOGS[turn], &logs[turn][..replayed.bytes as usize])?;
+            renew(&mut storage.disk, SLOTS[turn], &raw[turn])?;
             Ok(Opened::Whole { storage, recovered: replayed.recovered })
         }
     }
 }
 
+/// What reads back may be there in memory only, after a sync that failed: it is written and synced
+/// anew, the same bytes in their places, before anybody builds on it.
+fn renew<D: Disk>(disk: &mut D, file: &str, bytes: &[u8]) -> io::Result<()> {
+    disk.write(file, 0, bytes)?;
+    disk.truncate(file, bytes.len() as u64)?;
+    disk.sync(file)
+}
+
 /// A log only grows past its start once its slot was synced.
 fn wrote_beyond_start(log: &[u8], above: u64) -> bool {
     let Some((start, length)) = read_record(log) else { return false };
--- a/crates/storage/tests/power.rs
+++ b/crates/storage/tests/power.rs
@@ -1,5 +1,5 @@
 use postbarrow_consensus::{Entry, Hard, Member, Payload, Recovered, Snapshot, Write};
-use postbarrow_simulation::{Random, SimDisk};
+use postbarrow_simulation::{DiskTrouble, Random, SimDisk};
 use postbarrow_storage::{Disk, LOGS, Opened, SLOTS, Storage, open};
 use std::sync::Arc;
 
@@ -107,3 +107,32 @@
     disk.write(SLOTS[1], 0, b"PBSLOT01 half").unwrap();
     assert!(matches!(open(disk).unwrap(), Opened::Empty(_)));
 }
+
+/// After a failed sync the system may take what was due for written: it reads back until the power
+/// goes. Whoever starts on such a disk must not build on that.
+#[test]
+fn what_a_failed_sync_left_is_written_anew_or_not_read_back() {
+    for trouble in [DiskTrouble::SyncFails, DiskTrouble::WriteFails, DiskTrouble::Full] {
+        for slots in [false, true] {
+            let disk = SimDisk::default();
+            let mut storage = Storage::create(disk.clone(), 9).unwrap();
+            storage.apply(vec![Write::Append(vec![entry(1, 1)])]).unwrap();
+            disk.set_trouble(Some(trouble));
+            let write = match slots {
+                true => slot(1, 1, vec![entry(1, 2)]),
+                false => Write::Append(vec![entry(1, 2)]),
+            };
+            assert!(storage.apply(vec![write]).is_err(), "{trouble:?} is told");
+            disk.set_trouble(None);
+            let (mut storage, found) = reopen(&disk);
+            let next = found.entries.last().unwrap().index + 1;
+            storage.apply(vec![Write::Append(vec![entry(1, next)])]).unwrap();
+            disk.lose_power(&mut Random::new(7));
+            let (_, kept) = reopen(&disk);
+            let indexes =
+                |got: &Recovered| got.entries.iter().map(|entry| entry.index).collect::<Vec<_>>();
+            let wanted: Vec<u64> = (1..=next).collect();
+            assert_eq!(indexes(&kept), wanted, "{trouble:?}, slot {slots}");
+        }
+    }
+}
