Strike the controller at each write and sync of plans, member changes, slots

Cause: a controller's death within a plan, a member change or a slot write was drawn at random, so no step was sure to be hit; the handover's own rules were seen only in whole clusters, where a hold kept through it went unnoticed. Change: steps.rs counts the controller's writes and syncs while it is busy and strikes at one of them: kill, power, freeze, cut. After each, the plan is in force everywhere and reads back, also after a disk is lost.

--- a/crates/simulation/src/control.rs
+++ b/crates/simulation/src/control.rs
@@ -48,6 +48,12 @@
     }
 }
 
+impl ControlMachine {
+    pub fn writes(&self) -> impl Iterator<Item = &Write> {
+        self.writes.iter().map(|(_, write)| write)
+    }
+}
+
 impl World {
     pub fn start_control(&mut self, at: usize) {
         let seed = self.random.draw();
@@ -84,18 +90,27 @@
     /// Ends the process; with `power`, what was not synced goes too, perhaps amid a write.
     pub fn end_control(&mut self, at: usize, power: bool) {
         let fuse = self.random.below(4);
+        self.end(at, power.then_some(fuse));
+    }
+
+    /// Power goes after so many of the operations that wait for the disk.
+    pub fn end_with_fuse(&mut self, at: usize, fuse: u64) {
+        self.end(at, Some(fuse));
+    }
+
+    fn end(&mut self, at: usize, fuse: Option<u64>) {
         let machine = &mut self.control[at];
         machine.node = None;
         machine.life += 1;
         if let Some(mut storage) = machine.storage.take()
-            && power
+            && let Some(fuse) = fuse
             && !machine.writes.is_empty()
         {
             machine.disk.set_fuse(fuse);
             let writes = machine.writes.drain(..).map(|(_, write)| write).collect();
             let _torn = storage.apply(writes);
         }
-        if power {
+        if fuse.is_some() {
             machine.disk.lose_power(&mut self.random);
         }
     }
@@ -111,6 +126,9 @@
                 Effect::Send { to, message } => self.transmit(from, to, message),
                 Effect::Write { sequence, write } => {
                     let machine = &mut self.control[at];
+                    if machine.life != life {
+                        return;
+                    }
                     machine.writes.push_back((sequence, write));
                     if !machine.syncing {
                         machine.syncing = true;
@@ -120,6 +138,7 @@
                         };
                         self.after(tookUs, Event::Synced { at, life });
                     }
+                    self.strike_at(at);
                 }
                 Effect::Fetch { number, cursor } => self.fetch(at, number, cursor),
                 Effect::Encode(snap) => {
@@ -151,6 +170,7 @@
         match storage.apply(writes) {
             Ok(()) => {
                 self.synced = (self.synced.0 + 1, self.synced.1 + count);
+                self.strike_at(at);
                 self.control_input(at, Input::Synced(last));
             }
             Err(error) => self.disk_failed(at, &error),
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -110,7 +110,7 @@
         }
     }
 
-    fn isolate(&mut self, at: usize) {
+    pub fn isolate(&mut self, at: usize) {
         let cut = self.control[at].address.ip();
         for other in self.addresses() {
             self.net.cut(cut, other);
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -19,6 +19,7 @@
 mod random;
 mod roll;
 mod scenario;
+mod steps;
 mod targets;
 mod world;
 
@@ -27,4 +28,5 @@
 pub use list::Trouble;
 pub use random::Random;
 pub use scenario::{Ended, Scenario};
+pub use steps::{HOWS, How, Step, WHATS, What};
 pub use world::World;
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -1,10 +1,10 @@
 //! Runs many seeds and prints each that fails, so that it can be run again alone.
 
 use gumdrop::Options;
-use postbarrow_simulation::{Fault, Scenario};
+use postbarrow_simulation::{Fault, HOWS, How, Scenario, Step, WHATS, What};
 use std::process::ExitCode;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
 
 #[derive(Debug, Options)]
 struct Cli {
@@ -22,10 +22,55 @@
     kill_controller: bool,
     #[options(help = "print what happened", no_short)]
     log: bool,
+    #[options(
+        help = "strike the controller at each step of a plan, member change and snapshot",
+        no_short
+    )]
+    steps: bool,
+    #[options(help = "data nodes", default = "5", no_short)]
+    nodes: usize,
+    #[options(help = "targets", default = "12", no_short)]
+    targets: usize,
+    #[options(help = "three zones this many microseconds apart", default = "0", no_short)]
+    zone_us: u64,
+}
+
+/// Every step of every kind, until the controller takes no more.
+fn steps(cli: &Cli) -> ExitCode {
+    let kinds: Vec<(What, How)> =
+        WHATS.into_iter().flat_map(|what| HOWS.map(|how| (what, how))).collect();
+    let next = AtomicUsize::new(0);
+    let failed = AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        for _ in 0..cli.threads {
+            scope.spawn(|| {
+                while let Some((what, how)) = kinds.get(next.fetch_add(1, Relaxed)).copied() {
+                    let most = if what == What::Snapshot { 12 } else { u64::MAX };
+                    let mut struck = 0;
+                    while struck < most {
+                        let step =
+                            Step { seed: cli.seed + struck % cli.seeds, what, how, at: struck };
+                        let Some(ended) = step.run() else { break };
+                        struck += 1;
+                        for violation in &ended.violations {
+                            failed.fetch_add(1, Relaxed);
+                            println!("{step:?}: {violation}");
+                        }
+                    }
+                    println!("{what:?} {how:?}: {struck} steps");
+                }
+            });
+        }
+    });
+    println!("{} violations", failed.load(Relaxed));
+    if failed.load(Relaxed) == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
 fn main() -> ExitCode {
     let cli = Cli::parse_args_default_or_exit();
+    if cli.steps {
+        return steps(&cli);
+    }
     let next = AtomicU64::new(cli.seed);
     let outcomes = Mutex::new(Vec::new());
     std::thread::scope(|scope| {
@@ -38,6 +83,9 @@
                     }
                     let mut scenario = Scenario::everything(seed);
                     scenario.count = cli.faults;
+                    scenario.dataNodes = cli.nodes;
+                    scenario.targets = cli.targets;
+                    scenario.zoneUs = cli.zone_us;
                     scenario.log = cli.log;
                     scenario.last = cli.kill_controller.then_some(Fault::KillController);
                     let outcome = scenario.run();
@@ -73,6 +121,16 @@
         sum(|outcome| outcome.calls),
         sum(|outcome| outcome.events),
     );
+    let synced = |part: fn(&(usize, usize)) -> usize| {
+        outcomes.iter().map(|outcome| part(&outcome.synced)).sum::<usize>()
+    };
+    println!(
+        "{} writes in {} syncs; {} disk failures; {} list refusals",
+        synced(|synced| synced.1),
+        synced(|synced| synced.0),
+        sum(|outcome| outcome.diskFailures),
+        sum(|outcome| outcome.listRefusals),
+    );
     println!(
         "recovery ms: p50 {} p90 {} p99 {} most {}; longest leave ms {}",
         at(50),
--- a/crates/simulation/src/net.rs
+++ b/crates/simulation/src/net.rs
@@ -9,6 +9,16 @@
     last: BTreeMap<(SocketAddr, SocketAddr), u64>,
     pub slowUs: u64,
     pub lossPerMille: u64,
+    /// Machines of other zones are so much farther; a machine's zone is its number's third.
+    pub zoneUs: u64,
+}
+
+/// Machines are numbered from one in the last part of their address.
+fn zone(of: IpAddr) -> u8 {
+    match of {
+        IpAddr::V4(address) => address.octets()[3].wrapping_sub(1) % 3,
+        IpAddr::V6(_) => 0,
+    }
 }
 
 impl Net {
@@ -23,7 +33,8 @@
         if self.is_cut(from.ip(), to.ip()) || random.chance(self.lossPerMille) {
             return None;
         }
-        let delayUs = random.between(200, 1_200) + self.slowUs;
+        let far = if zone(from.ip()) == zone(to.ip()) { 0 } else { self.zoneUs };
+        let delayUs = random.between(200, 1_200) + self.slowUs + far;
         let last = self.last.entry((from, to)).or_default();
         let atUs = (nowUs + delayUs).max(*last + 1);
         *last = atUs;
--- a/crates/simulation/src/operator.rs
+++ b/crates/simulation/src/operator.rs
@@ -86,7 +86,7 @@
         self.after(50_000, Event::Operate);
     }
 
-    fn hand_over(&mut self, routes: u64, dry: bool, empty: bool) {
+    pub fn hand_over(&mut self, routes: u64, dry: bool, empty: bool) {
         self.operator.number += 1;
         let version = format!("v{}", self.operator.number);
         let base = self.operator.version.clone();
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -22,6 +22,8 @@
     pub script: Vec<(u64, Fault)>,
     /// Of a thousand runs at a target, so many lose their response.
     pub lostPerMille: u64,
+    /// Zones are so far apart.
+    pub zoneUs: u64,
 }
 
 #[derive(Debug, Default)]
@@ -49,6 +51,7 @@
     pub snapshots: usize,
     pub synced: (usize, usize),
     pub diskFailures: usize,
+    pub listRefusals: usize,
     pub log: Vec<String>,
 }
 
@@ -67,6 +70,7 @@
             last: None,
             script: Vec::new(),
             lostPerMille: 5,
+            zoneUs: 0,
         }
     }
 
@@ -80,6 +84,7 @@
             world.log = Some(Vec::new());
         }
         world.targets.iter_mut().for_each(|target| target.lostPerMille = self.lostPerMille);
+        world.net.zoneUs = self.zoneUs;
         let mut random = Random::new(self.seed ^ 0xfa_017);
         world.run_until(6_000_000);
         let formed = world.is_well();
@@ -122,7 +127,7 @@
 }
 
 /// Full service: all nodes ready on one version, and asks of each kind run.
-fn recover(world: &mut World) -> u64 {
+pub(crate) fn recover(world: &mut World) -> u64 {
     let startUs = world.nowUs;
     let mut wellUs = None;
     while world.nowUs < startUs + 2 * RECOVERY_MS * 1_000 {
@@ -151,7 +156,7 @@
     }
 }
 
-fn finish(world: &mut World, outcome: &mut Ended) {
+pub(crate) fn finish(world: &mut World, outcome: &mut Ended) {
     if outcome.recoveryMs > RECOVERY_MS {
         outcome.violations.push(format!("no full service {RECOVERY_MS} ms after the last fault"));
     }
@@ -185,6 +190,7 @@
     outcome.snapshots = world.snapshots;
     outcome.synced = world.synced;
     outcome.diskFailures = world.diskFailures;
+    outcome.listRefusals = world.list.refusals as usize;
     outcome.digest = world.digest;
     outcome.log = world.log.take().unwrap_or_default();
 }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -9,6 +9,7 @@
 use crate::net::Net;
 use crate::operator::Operator;
 use crate::random::Random;
+use crate::steps::Strike;
 use crate::targets::Target;
 use postbarrow_constants::consensus::PULSE_MS;
 use postbarrow_controller::Input as ControlInput;
@@ -45,6 +46,7 @@
     pub digest: u64,
     pub snapshots: usize,
     pub slowDisks: bool,
+    pub(crate) strike: Option<Strike>,
     /// Syncs that were done, and the writes that shared them.
     pub synced: (usize, usize),
     pub diskFailures: usize,
@@ -80,6 +82,7 @@
             digest: 0,
             snapshots: 0,
             slowDisks: false,
+            strike: None,
             synced: (0, 0),
             diskFailures: 0,
             queue: BTreeMap::new(),
