Put relays between the fleet's processes; cut zones, jump clocks, fill a disk

Cause: the fleet's links went straight over loopback, so splits, cuts, zones' delays, list trouble, full disks and jumping clocks were never seen by real processes; the test of clocks only read the source. Ruled out: network namespaces and a mounted small file system, which need rights an operator's machine may not give; setting the machine's own clock. Change: each process is told one address and listens at another (a new setting, bind); the runner's relay between them knows the sender from the first frame, adds the zones' delay and drops what is cut. Clocks jump by a library loaded before the process; a disk is full by its process's file limit.

--- a/crates/startup/src/place.rs
+++ b/crates/startup/src/place.rs
@@ -1,5 +1,5 @@
 use postbarrow_reading::{Fields, Finding, Findings, Reading, Value, text};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,6 +15,8 @@
     pub zone: String,
     /// Where other postbarrow processes reach this one.
     pub address: SocketAddr,
+    /// Where it listens for them, if its address leads to it by way of something else.
+    pub bind: Option<SocketAddr>,
     /// Where callers, or operators, reach this one.
     pub http: SocketAddr,
     pub seeds: Vec<SocketAddr>,
@@ -30,6 +32,7 @@
     pub name: Option<String>,
     pub zone: Option<String>,
     pub address: Option<String>,
+    pub bind: Option<String>,
     pub http: Option<String>,
     pub seeds: Vec<String>,
     pub data: Option<String>,
@@ -39,6 +42,16 @@
 }
 
 impl Startup {
+    /// Binds for links, and tells the address that others are given.
+    pub fn listen(&self) -> std::io::Result<(TcpListener, SocketAddr)> {
+        let listener = TcpListener::bind(self.bind.unwrap_or(self.address))?;
+        let own = match self.bind {
+            Some(_) => self.address,
+            None => listener.local_addr()?,
+        };
+        Ok((listener, own))
+    }
+
     /// Reads the file, lets flags overrule it, and reports every finding of both together.
     pub fn read(part: Part, file: &str, flags: &Flags) -> Result<Startup, Findings> {
         let (value, mut reading) = Reading::parse(file)?;
@@ -66,6 +79,7 @@
     given.name = take("name");
     given.zone = take("zone");
     given.address = take("address");
+    given.bind = take("bind");
     given.http = take("http");
     given.data = take("data");
     given.list = take("list");
@@ -88,6 +102,7 @@
         name: pick(&flags.name, file.name),
         zone: pick(&flags.zone, file.zone),
         address: pick(&flags.address, file.address),
+        bind: pick(&flags.bind, file.bind),
         http: pick(&flags.http, file.http),
         seeds: if flags.seeds.is_empty() { file.seeds } else { flags.seeds.clone() },
         data: pick(&flags.data, file.data),
@@ -111,6 +126,7 @@
     };
     let own: Option<SocketAddr> = address("address", given.address.as_ref());
     let http: Option<SocketAddr> = address("http", given.http.as_ref());
+    let bind = given.bind.as_ref().and_then(|bind| address("bind", Some(bind)));
     let mut seeds = Vec::new();
     for (at, seed) in given.seeds.iter().enumerate() {
         seeds.extend(address(&format!("seeds[{at}]"), Some(seed)));
@@ -155,6 +171,7 @@
         name: given.name?,
         zone: given.zone?,
         address: own?,
+        bind,
         http: http?,
         seeds,
         data: given.data.map(PathBuf::from),
--- a/crates/startup/src/stop.rs
+++ b/crates/startup/src/stop.rs
@@ -6,13 +6,14 @@
     STOP.store(true, SeqCst);
 }
 
-/// SIGTERM and SIGINT ask for a clean stop; SIGPIPE is left to the writer's error.
+/// SIGTERM and SIGINT ask for a clean stop; SIGPIPE and SIGXFSZ are left to the writer's error.
 pub fn watch_signals() {
     let handler = on_signal as *const () as libc::sighandler_t;
     unsafe {
         libc::signal(libc::SIGTERM, handler);
         libc::signal(libc::SIGINT, handler);
         libc::signal(libc::SIGPIPE, libc::SIG_IGN);
+        libc::signal(libc::SIGXFSZ, libc::SIG_IGN);
     }
 }
 
--- a/programs/control-plane/src/lib.rs
+++ b/programs/control-plane/src/lib.rs
@@ -16,7 +16,7 @@
 use postbarrow_storage::{FolderDisk, Opened, Storage, open};
 use postbarrow_transport::{listen, now_ms, random};
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::sync::mpsc::{Sender, channel};
@@ -46,8 +46,8 @@
                 (Storage::create(disk, random())?, Recovered::default())
             }
         };
-        let links = TcpListener::bind(startup.address)?;
-        let own = Member { id: storage.id(), address: links.local_addr()? };
+        let (links, address) = startup.listen()?;
+        let own = Member { id: storage.id(), address };
         info!("control: {} is member {:016x} at {}", startup.name, own.id, own.address);
         let (commands, queue) = channel();
         let writes = disk::start(storage, commands.clone())?;
--- a/programs/control-plane/src/main.rs
+++ b/programs/control-plane/src/main.rs
@@ -47,6 +47,8 @@
     zone: Option<String>,
     #[options(help = "address for other postbarrow processes", meta = "IP:PORT", no_short)]
     address: Option<String>,
+    #[options(help = "where to listen for them, if not there", meta = "IP:PORT", no_short)]
+    bind: Option<String>,
     #[options(help = "address for operators", meta = "IP:PORT", no_short)]
     http: Option<String>,
     #[options(
@@ -117,6 +119,7 @@
         name: place.name,
         zone: place.zone,
         address: place.address,
+        bind: place.bind,
         http: place.http,
         seeds: place.seed,
         data: place.data,
--- a/programs/data-plane/src/lib.rs
+++ b/programs/data-plane/src/lib.rs
@@ -37,12 +37,12 @@
 
 impl DataPlane {
     pub fn start(startup: &Startup) -> io::Result<DataPlane> {
-        let links = TcpListener::bind(startup.address)?;
+        let (links, address) = startup.listen()?;
         let http = TcpListener::bind(startup.http)?;
         let own = Node {
             incarnation: random(),
             name: Name::from(&startup.name),
-            address: links.local_addr()?,
+            address,
             http: http.local_addr()?,
             zone: Name::from(&startup.zone),
         };
--- a/programs/data-plane/src/main.rs
+++ b/programs/data-plane/src/main.rs
@@ -20,6 +20,8 @@
     zone: Option<String>,
     #[options(help = "address for other postbarrow processes", meta = "IP:PORT", no_short)]
     address: Option<String>,
+    #[options(help = "where to listen for them, if not there", meta = "IP:PORT", no_short)]
+    bind: Option<String>,
     #[options(help = "address for callers", meta = "IP:PORT", no_short)]
     http: Option<String>,
     #[options(
@@ -44,6 +46,7 @@
         name: cli.name,
         zone: cli.zone,
         address: cli.address,
+        bind: cli.bind,
         http: cli.http,
         seeds: cli.seed,
         log: cli.log,
--- a/tools/fleet-runner/src/after.rs
+++ b/tools/fleet-runner/src/after.rs
@@ -19,6 +19,7 @@
                 .push(format!("{instance} ran an ask {lagMs} ms after the list showed it leave"));
         }
     }
+    println!("fleet: {} faults drawn", told.drawn);
     if !lags.is_empty() {
         println!("fleet: last ask after the list's mark, ms: {lags:?}");
     }
--- a/tools/fleet-runner/src/fleet.rs
+++ b/tools/fleet-runner/src/fleet.rs
@@ -1,8 +1,11 @@
 use crate::Cli;
+use crate::clocks;
 use crate::list::{List, Row};
 use crate::process::Process;
+use crate::relay::Relays;
 use crate::spec::{Spec, ZONES, plan};
-use std::collections::BTreeMap;
+use crate::words::{BOUND, local};
+use std::collections::{BTreeMap, BTreeSet};
 use std::process::{Child, Command};
 use std::time::{Duration, Instant};
 use ureq::Agent;
@@ -19,8 +22,11 @@
     pub version: String,
     pub nextPort: u16,
     pub targetWords: Vec<String>,
-    port: u16,
+    pub port: u16,
     _list: Process,
+    pub relays: Relays,
+    /// Places of control machines, and targets, that have their relay already.
+    pub relayed: BTreeSet<u16>,
     pub agent: Agent,
     /// Each data node's zone and address for callers.
     pub zones: Vec<String>,
@@ -37,10 +43,15 @@
         let _ = std::fs::remove_dir_all(&folder);
         let records = format!("{folder}/records");
         std::fs::create_dir_all(&records).map_err(|error| format!("{records}: {error}"))?;
+        clocks::prepare(&folder, &cli.clock)?;
         let list = List::new(&folder);
         list.write()?;
         let words = |text: String| text.split(' ').map(str::to_string).collect::<Vec<String>>();
-        let listWords = words(format!("list --http 127.0.0.1:{} --file {}", cli.port, list.file()));
+        let listWords = words(format!(
+            "list --http 127.0.0.1:{} --file {} --trouble {folder}/trouble",
+            cli.port,
+            list.file()
+        ));
         let listed = Process::start(&cli.programs, "stand-ins", "list", listWords, &folder)?;
         let config = Agent::config_builder()
             .http_status_as_error(false)
@@ -60,6 +71,8 @@
             targetWords: Vec::new(),
             port: cli.port,
             _list: listed,
+            relays: Relays::default(),
+            relayed: BTreeSet::new(),
             agent: Agent::new_with_config(config),
             zones: Vec::new(),
         };
@@ -67,13 +80,15 @@
             fleet.targetWords =
                 words(format!("--faults {} --per-mille {}", cli.target_faults, cli.per_mille));
         }
+        let zoneDelay = fleet.spec.zoneDelay;
+        fleet.relays.rule(|rules| rules.zoneDelay = zoneDelay);
         for (service, count) in fleet.spec.targets {
             for at in 0..count {
                 fleet.add_target(service, ZONES[at % ZONES.len()], None)?;
             }
         }
         for at in 0..3 {
-            let words = fleet.control_words(at, at as u16);
+            let words = fleet.control_words(at, at as u16)?;
             let process = Process::start(
                 &fleet.programs,
                 "postbarrow-control-plane",
@@ -87,9 +102,11 @@
             let zone = ZONES[at % ZONES.len()];
             let (address, http) = (cli.port + 200 + at as u16, cli.port + 400 + at as u16);
             let words = words(format!(
-                "--name data-{at} --zone {zone} --address 127.0.0.1:{address} --http 127.0.0.1:{http} {}",
+                "--name data-{at} --zone {zone} --address 127.0.0.1:{address} --bind 127.0.0.1:{} --http 127.0.0.1:{http} {}",
+                address + BOUND,
                 fleet.seeds(at)
             ));
+            fleet.relay(address, zone)?;
             let name = format!("data-{at}");
             let process = Process::start(
                 &fleet.programs,
@@ -121,29 +138,6 @@
         Err("the first plan was never in force".into())
     }
 
-    /// Two of the first three core machines, which may be gone, and a data node that a fault
-    /// does not take together with the one that starts.
-    pub fn seeds(&self, at: usize) -> String {
-        let count = self.spec.dataNodes;
-        let other = self.port + 200 + ((at + count / 2) % count) as u16;
-        let seeds = [self.port + 100, self.port + 101, other];
-        let words = seeds.iter().map(|port| format!("--seed 127.0.0.1:{port}"));
-        words.collect::<Vec<_>>().join(" ")
-    }
-
-    /// `place` names the port, so that a machine can come back at another address.
-    pub fn control_words(&self, at: usize, place: u16) -> Vec<String> {
-        let (address, http) = (self.port + 100 + place, self.port + 150 + place);
-        let text = format!(
-            "run --name control-{at} --zone {} --address 127.0.0.1:{address} --http 127.0.0.1:{http} --data {}/control-{at} --list http://127.0.0.1:{}/targets {}",
-            ZONES[at % ZONES.len()],
-            self.folder,
-            self.port,
-            self.seeds(at)
-        );
-        text.split(' ').map(str::to_string).collect()
-    }
-
     pub fn add_target(
         &mut self,
         service: &str,
@@ -152,11 +146,17 @@
     ) -> Result<String, String> {
         let address = address.unwrap_or_else(|| {
             self.nextPort += 1;
-            format!("127.0.0.1:{}", self.nextPort)
+            let (told, bound) = (local(self.nextPort), local(self.nextPort + BOUND));
+            if let Err(error) = self.relays.bytes(told, bound) {
+                println!("fleet: relay {told}: {error}");
+            }
+            told.to_string()
         });
+        let bound = address.rsplit(':').next().and_then(|port| port.parse::<u16>().ok());
+        let bound = local(bound.unwrap_or(0) + BOUND);
         let instance = format!("{service}-{}", self.targets.len());
         let text = format!(
-            "target --http {address} --instance {instance} --service {service} --records {}/records/{instance} --seed {}",
+            "target --http {bound} --instance {instance} --service {service} --records {}/records/{instance} --seed {}",
             self.folder,
             self.targets.len()
         );
--- a/tools/fleet-runner/src/main.rs
+++ b/tools/fleet-runner/src/main.rs
@@ -1,14 +1,19 @@
 //! Starts a whole fleet on this machine, drives load through it, and brings faults about.
 
 mod after;
+mod clocks;
+mod cuts;
 mod faults;
 mod fleet;
 mod list;
 mod plans;
 mod process;
 mod ready;
+mod relay;
+mod schedule;
 mod spec;
 mod targets;
+mod words;
 
 use gumdrop::Options;
 use std::process::ExitCode;
@@ -32,7 +37,7 @@
     folder: String,
     #[options(help = "folder of the programs", default = "target/release", no_short)]
     programs: String,
-    #[options(help = "first port", default = "31000", no_short)]
+    #[options(help = "first port", default = "21000", no_short)]
     port: u16,
     #[options(help = "retries at once per failed ask: a storm", default = "0", no_short)]
     storm: u32,
@@ -42,6 +47,12 @@
     target_faults: String,
     #[options(help = "routes beside the three that carry load", default = "0", no_short)]
     routes: usize,
+    #[options(
+        help = "library that makes a process's readable clock jump",
+        default = "target/release/libjumping_clock.so",
+        no_short
+    )]
+    pub clock: String,
 }
 
 fn main() -> ExitCode {
@@ -61,7 +72,7 @@
     let mut fleet = fleet::Fleet::start(cli, spec)?;
     println!("fleet: ready after {} ms", fleet.wait_ready(30_000)?);
     let mut load = fleet.start_load(cli)?;
-    let schedule = faults::schedule(cli)?;
+    let schedule = schedule::schedule(cli)?;
     let told = faults::run(cli, &mut fleet, &schedule);
     let sound = load.wait().map_err(|error| error.to_string())?.success();
     let healed = fleet.wait_ready(20_000);
--- a/tools/fleet-runner/src/process.rs
+++ b/tools/fleet-runner/src/process.rs
@@ -8,9 +8,18 @@
     program: String,
     words: Vec<String>,
     output: String,
+    clock: Option<(String, String)>,
     child: Option<Child>,
 }
 
+/// The library and the file of a process's jumps, where the fleet has them.
+fn clocks(folder: &str, name: &str) -> Option<(String, String)> {
+    let library = std::fs::read_to_string(format!("{folder}/clock-library")).ok()?;
+    let file = format!("{folder}/{name}.clock");
+    std::fs::write(&file, "0").ok()?;
+    Some((library, file))
+}
+
 impl Process {
     pub fn start(
         programs: &str,
@@ -24,6 +33,7 @@
             program: Path::new(programs).join(program).display().to_string(),
             words,
             output: format!("{folder}/{name}.out"),
+            clock: clocks(folder, name),
             child: None,
         };
         process.begin()?;
@@ -34,7 +44,11 @@
         let text = |error: std::io::Error| format!("{}: {error}", self.name);
         let output = File::options().create(true).append(true).open(&self.output).map_err(text)?;
         let errors = output.try_clone().map_err(text)?;
-        let child = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        if let Some((library, file)) = &self.clock {
+            command.env("LD_PRELOAD", library).env("JUMPING_CLOCK", file);
+        }
+        let child = command
             .args(&self.words)
             .stdin(Stdio::null())
             .stdout(output)
@@ -59,6 +73,26 @@
         }
     }
 
+    /// From now on its files may not grow past so many bytes.
+    pub fn limit_files(&self, sizeBytes: u64) -> Result<(), String> {
+        let child = self.child.as_ref().ok_or("not running")?;
+        let limit = libc::rlimit { rlim_cur: sizeBytes, rlim_max: sizeBytes };
+        let old = std::ptr::null_mut();
+        let done = unsafe { libc::prlimit(child.id() as i32, libc::RLIMIT_FSIZE, &limit, old) };
+        if done == 0 { Ok(()) } else { Err(std::io::Error::last_os_error().to_string()) }
+    }
+
+    /// Whether this library is loaded in it.
+    pub fn has_loaded(&self, library: &str) -> bool {
+        let maps = self.child.as_ref().map(|child| format!("/proc/{}/maps", child.id()));
+        let maps = maps.and_then(|maps| std::fs::read_to_string(maps).ok());
+        maps.is_some_and(|maps| maps.contains(library))
+    }
+
+    pub fn has_ended(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+    }
+
     pub fn kill(&mut self) {
         self.signal(libc::SIGKILL);
         self.reap();
--- a/tools/fleet-runner/src/spec.rs
+++ b/tools/fleet-runner/src/spec.rs
@@ -1,4 +1,5 @@
 use crate::Cli;
+use std::time::Duration;
 
 /// A deployment's sizes, from what its operators told.
 #[derive(Clone, Debug)]
@@ -9,15 +10,16 @@
     pub postings: usize,
     pub uploads: usize,
     pub calls: usize,
+    pub zoneDelay: Duration,
 }
 
 pub const ZONES: [&str; 3] = ["a", "b", "c"];
 
 impl Spec {
     pub fn of(cli: &Cli) -> Result<Spec, String> {
-        let (dataNodes, sizes, rates) = match cli.deployment.as_str() {
-            "blue-mahoe" => (11, [20, 9, 6], [80, 30, 10, 15]),
-            "kutch" => (12, [23, 10, 6], [380, 130, 40, 65]),
+        let (dataNodes, sizes, rates, zoneUs) = match cli.deployment.as_str() {
+            "blue-mahoe" => (11, [20, 9, 6], [80, 30, 10, 15], 500),
+            "kutch" => (12, [23, 10, 6], [380, 130, 40, 65], 1_000),
             other => return Err(format!("{other} is no deployment")),
         };
         let scale = cli.scale.max(1);
@@ -30,6 +32,7 @@
             postings,
             uploads,
             calls,
+            zoneDelay: Duration::from_micros(zoneUs),
         })
     }
 }
--- a/tools/stand-ins/src/list.rs
+++ b/tools/stand-ins/src/list.rs
@@ -21,6 +21,11 @@
     slow_ms: u64,
     #[options(help = "pages a second, at most", default = "8", no_short)]
     rate: usize,
+    #[options(
+        help = "file whose word is its trouble: slow MS, rate N, down, empty, less",
+        no_short
+    )]
+    trouble: Option<String>,
 }
 
 pub fn run(place: Place) -> Result<(), String> {
@@ -30,12 +35,25 @@
 }
 
 fn serve(place: &Place, served: &Mutex<Vec<Instant>>, request: &Request) -> Response {
-    if !is_within_rate(place, served) {
+    let trouble = place.trouble.as_ref().and_then(|file| std::fs::read_to_string(file).ok());
+    let trouble = trouble.unwrap_or_default();
+    let (word, number) = trouble.trim().split_once(' ').unwrap_or((trouble.trim(), "0"));
+    let number: u64 = number.parse().unwrap_or(0);
+    let rate = if word == "rate" { number as usize } else { place.rate };
+    if !is_within_rate(rate, served) {
         return Response::text("too many")
             .with_status_code(429)
             .with_additional_header("Retry-After", "1");
     }
-    std::thread::sleep(Duration::from_millis(place.slow_ms));
+    let slowMs = if word == "slow" { number } else { place.slow_ms };
+    std::thread::sleep(Duration::from_millis(slowMs));
+    match word {
+        "down" => return Response::text("out of order").with_status_code(500),
+        "empty" => {
+            return Response::from_data("application/json", "{\"targets\":[],\"next\":null}");
+        }
+        _ => {}
+    }
     let Ok(text) = std::fs::read_to_string(&place.file) else {
         return Response::text("no list").with_status_code(500);
     };
@@ -43,15 +61,15 @@
     let from = request.get_param("cursor").and_then(|text| text.parse::<usize>().ok()).unwrap_or(0);
     let to = (from + place.page).min(lines.len());
     let rows = lines.get(from..to).unwrap_or_default().join(",");
-    let next = if to < lines.len() { format!("\"{to}\"") } else { "null".into() };
+    let next = if to < lines.len() && word != "less" { format!("\"{to}\"") } else { "null".into() };
     Response::from_data("application/json", format!("{{\"targets\":[{rows}],\"next\":{next}}}"))
 }
 
-fn is_within_rate(place: &Place, served: &Mutex<Vec<Instant>>) -> bool {
+fn is_within_rate(rate: usize, served: &Mutex<Vec<Instant>>) -> bool {
     let Ok(mut served) = served.lock() else { return false };
     let now = Instant::now();
     served.retain(|at| now.duration_since(*at) < Duration::from_secs(1));
-    let within = served.len() < place.rate;
+    let within = served.len() < rate;
     if within {
         served.push(now);
     }
