Rehearse a plan with the asks that nodes saw lately

Cause: the rehearsal compared names of routes and counts of live targets; that half the asks would lose their route was told by nobody. Ruled out: comparing within the open transaction, which holds up tickets; keeping bodies, queries or headers that no rule reads; guessing from an empty sample. The sample ends with its controller, and says so.

--- a/crates/constants/src/plans.rs
+++ b/crates/constants/src/plans.rs
@@ -18,6 +18,17 @@
 pub const FINDINGS: usize = 100;
 /// Bytes of a submission's version name.
 pub const VERSION_BYTES: usize = 128;
+/// A rehearsal runs recent asks through two plans for no longer than this.
+pub const REHEARSE_MS: u64 = 1_000;
+/// Recent asks that wait at a node to be told of; beyond it they are only counted.
+pub const SAMPLES_WAITING: usize = 32;
+/// Of them told with one question for freshness: twelve nodes tell of 320 a second.
+pub const SAMPLES_TOLD: usize = 4;
+/// Recent asks the controller keeps, and for how long.
+pub const SAMPLES: usize = 2_000;
+pub const SAMPLES_KEEP_MS: u64 = 60_000;
+/// A longer path, or header that a rule names, is not sampled.
+pub const SAMPLE_BYTES: usize = 256;
 /// Default deadline of a route whose plan names none.
 pub const ROUTE_DEADLINE_MS: u64 = 5_000;
 /// Longest deadline a plan may name.
--- a/crates/controller/src/asks.rs
+++ b/crates/controller/src/asks.rs
@@ -8,7 +8,8 @@
             let controller = controller.filter(|address| *address != self.own.address);
             return self.respond(origin, Response::NotController { controller });
         }
-        let reads = matches!(ask, Ask::Show | Ask::Targets | Ask::Members | Ask::Status);
+        let reads =
+            matches!(ask, Ask::Show | Ask::Targets | Ask::Members | Ask::Status | Ask::Recent);
         if !reads && self.is_open() && !is_read(&ask) {
             return self.wait_for_close(nowMs, origin, ask);
         }
@@ -23,6 +24,7 @@
             Ask::Targets => self.on_targets(nowMs, origin),
             Ask::Members => self.on_members(nowMs, origin),
             Ask::Status => self.on_status(nowMs, origin),
+            Ask::Recent => self.on_recent(nowMs, origin),
         }
     }
 
--- a/crates/controller/src/lead.rs
+++ b/crates/controller/src/lead.rs
@@ -1,5 +1,6 @@
 use crate::list::HeldRows;
 use crate::nodes::Seen;
+use crate::recent::Samples;
 use crate::submit::Open;
 use crate::walk::Walk;
 use crate::watches::Parked;
@@ -23,6 +24,7 @@
     pub repeatQueue: VecDeque<(u64, Name)>,
     pub historyMarks: VecDeque<(u64, u64)>,
     pub nodes: BTreeMap<Incarnation, Seen>,
+    pub samples: Samples,
     pub walk: Walk,
     pub heldRows: HeldRows,
     pub slowList: bool,
@@ -52,6 +54,7 @@
             repeatQueue: VecDeque::new(),
             historyMarks: VecDeque::new(),
             nodes: BTreeMap::new(),
+            samples: Samples::default(),
             walk: Walk::new(nowMs),
             heldRows: HeldRows::new(),
             slowList: false,
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -12,6 +12,7 @@
 mod operator;
 mod pace;
 mod page;
+mod recent;
 mod status;
 mod submit;
 mod targets;
--- a/crates/controller/src/nodes.rs
+++ b/crates/controller/src/nodes.rs
@@ -82,6 +82,7 @@
             self.propose(nowMs, vec![Record::Node(ask.node.clone())]);
         }
         let Some(lead) = &mut self.lead else { return };
+        lead.samples.take(nowMs, ask.recent, ask.seen);
         let seen = Seen {
             lastMs: nowMs,
             published: ask.published,
--- a/crates/controller/tests/bench/mod.rs
+++ b/crates/controller/tests/bench/mod.rs
@@ -133,10 +133,8 @@
     }
 
     pub fn status(&self, key: u64) -> Option<u16> {
-        match self.answer(key) {
-            Some(Response::Operator { status, .. }) => Some(*status),
-            _ => None,
-        }
+        let Some(Response::Operator { status, .. }) = self.answer(key) else { return None };
+        Some(*status)
     }
 
     pub fn state(&self) -> &State {
@@ -152,6 +150,8 @@
             ready: false,
             failing: Vec::new(),
             suspects: Vec::new(),
+            recent: Vec::new(),
+            seen: 0,
         };
         self.message(Message::Fresh(ask));
         self.sync();
--- a/crates/messages/src/asks.rs
+++ b/crates/messages/src/asks.rs
@@ -1,4 +1,4 @@
-use postbarrow_state::{Call, Kept, Name, Outcome, Record, Settlement, Ticket};
+use postbarrow_state::{Call, Kept, Name, Outcome, Record, Sample, Settlement, Ticket};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -6,13 +6,22 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Ask {
     Ticket(Ticket),
-    Settle { ticket: Ticket, settlement: Settlement, response: Option<Kept> },
-    Call { id: Option<Name>, call: Call },
+    Settle {
+        ticket: Ticket,
+        settlement: Settlement,
+        response: Option<Kept>,
+    },
+    Call {
+        id: Option<Name>,
+        call: Call,
+    },
     Submit(Submission),
     Show,
     Targets,
     Members,
     Status,
+    /// Recent asks, as nodes told of them.
+    Recent,
 }
 
 /// A plan that was read and checked whole.
@@ -47,6 +56,11 @@
         status: u16,
         body: Vec<u8>,
     },
+    Recent {
+        samples: Vec<Sample>,
+        seen: u64,
+        seconds: u64,
+    },
     NotController {
         controller: Option<SocketAddr>,
     },
--- a/crates/messages/src/lib.rs
+++ b/crates/messages/src/lib.rs
@@ -9,7 +9,7 @@
 use postbarrow_consensus as consensus;
 use postbarrow_consensus::{Member, MemberId};
 use postbarrow_membership::NewsEntry;
-use postbarrow_state::{Incarnation, Name, Node};
+use postbarrow_state::{Incarnation, Name, Node, Sample};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -57,6 +57,11 @@
     pub failing: Vec<Name>,
     /// Nodes silent on the ring.
     pub suspects: Vec<Incarnation>,
+    /// Some of the asks since the last question, and how many there were.
+    #[serde(default)]
+    pub recent: Vec<Sample>,
+    #[serde(default)]
+    pub seen: u64,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/crates/node/src/fresh.rs
+++ b/crates/node/src/fresh.rs
@@ -105,6 +105,8 @@
             ready: self.is_ready(nowMs),
             failing: self.failing(),
             suspects: self.watch.suspects(nowMs),
+            recent: std::mem::take(&mut self.recent),
+            seen: std::mem::take(&mut self.seen),
         };
         for address in to {
             self.send(address, Message::Fresh(ask.clone()));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,10 +12,11 @@
 
 use fresh::FreshBook;
 use postbarrow_constants::nodes::*;
+use postbarrow_constants::plans::SAMPLES_TOLD;
 use postbarrow_desk::{Desk, Effect as DeskEffect};
 use postbarrow_membership::{Relay, Watch};
 use postbarrow_messages::{Ask, Envelope, Message};
-use postbarrow_state::{Incarnation, Name, Node, State};
+use postbarrow_state::{Incarnation, Name, Node, Sample, State};
 use postbarrow_transactions::Tail;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -24,8 +25,20 @@
 pub enum Input {
     Pulse,
     Receive(Envelope),
-    Ask { key: u64, ask: Ask, waitMs: u64 },
-    Probed { instance: Name, sound: bool },
+    Ask {
+        key: u64,
+        ask: Ask,
+        waitMs: u64,
+    },
+    Probed {
+        instance: Name,
+        sound: bool,
+    },
+    /// Some of the asks that came, and how many came.
+    Saw {
+        samples: Vec<Sample>,
+        seen: u64,
+    },
     Stop,
 }
 
@@ -67,6 +80,8 @@
     tailDueMs: u64,
     tailedFrom: Option<SocketAddr>,
     stopping: bool,
+    recent: Vec<Sample>,
+    seen: u64,
     effects: Vec<Effect>,
 }
 
@@ -89,6 +104,8 @@
             tailDueMs: 0,
             tailedFrom: None,
             stopping: false,
+            recent: Vec::new(),
+            seen: 0,
             effects: Vec::new(),
         }
     }
@@ -102,6 +119,11 @@
                 self.absorb(effects);
             }
             Input::Probed { instance, sound } => self.on_probed(instance, sound),
+            Input::Saw { samples, seen } => {
+                self.recent.extend(samples);
+                self.recent.truncate(SAMPLES_TOLD);
+                self.seen += seen;
+            }
             Input::Stop => self.stopping = true,
         }
         self.relay_on(nowMs);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -3,11 +3,13 @@
 mod budget;
 mod limits;
 mod pick;
+mod rehearse;
 mod table;
 
 pub use budget::Budget;
 pub use limits::{Limits, Refusal};
 pub use pick::{Load, Loads};
+pub use rehearse::{Recent, RouteTraffic, Traffic};
 pub use table::{Entry, Found, Table};
 
 /// A small generator for picks; quality matters less than a short path.
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -30,6 +30,7 @@
     anyFirst: Vec<usize>,
     loads: Loads,
     budgets: HashMap<Name, Arc<Budget>>,
+    ruleHeaders: BTreeSet<String>,
 }
 
 pub enum Found {
@@ -48,6 +49,7 @@
             anyFirst: Vec::new(),
             loads: Loads::new(),
             budgets: HashMap::new(),
+            ruleHeaders: BTreeSet::new(),
         }
     }
 
@@ -96,7 +98,9 @@
                 _ => anyFirst.push(at),
             }
         }
-        Table { state, offset, entries, byFirst, anyFirst, loads, budgets }
+        let rules = state.routes.iter().filter_map(|route| route.when.as_deref());
+        let ruleHeaders = rules.flat_map(header_names).collect();
+        Table { state, offset, entries, byFirst, anyFirst, loads, budgets, ruleHeaders }
     }
 
     /// The most literal pattern wins; among equals, one with a rule that holds.
@@ -125,6 +129,11 @@
         }
     }
 
+    /// Names of the headers that rules read.
+    pub fn rule_headers(&self) -> &BTreeSet<String> {
+        &self.ruleHeaders
+    }
+
     pub fn loads(&self) -> &Loads {
         &self.loads
     }
@@ -141,6 +150,19 @@
     }
 }
 
+/// `headers['x']`, `'x' in headers` and `headers.x`.
+fn header_names(rule: &str) -> Vec<String> {
+    let parts: Vec<&str> = rule.split(['\'', '"']).collect();
+    let quoted = parts.windows(3).step_by(2).filter(|three| {
+        let asked = three[0].trim_end().ends_with('[') && three[0].contains("headers");
+        let looked = three[2].trim_start().starts_with("in ");
+        asked || looked
+    });
+    let ends = |c: char| !c.is_ascii_alphanumeric() && c != '_';
+    let fields = rule.split("headers.").skip(1).filter_map(|rest| rest.split(ends).next());
+    quoted.map(|three| three[1]).chain(fields).map(str::to_ascii_lowercase).collect()
+}
+
 impl Made {
     /// A route that does not compile here is left out; the plan was checked, so it does.
     fn new(route: &Arc<Route>) -> Result<Made, String> {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -3,9 +3,11 @@
 mod apply;
 mod coordination;
 mod records;
+mod sample;
 
 pub use coordination::*;
 pub use records::*;
+pub use sample::Sample;
 
 use compact_str::CompactString;
 use imbl::{OrdMap, Vector};
--- a/programs/control-plane/src/lib.rs
+++ b/programs/control-plane/src/lib.rs
@@ -5,6 +5,7 @@
 mod disk;
 mod list;
 mod operator;
+mod rehearse;
 
 use crate::core::{Command, Core};
 use log::{info, warn};
--- a/programs/control-plane/src/main.rs
+++ b/programs/control-plane/src/main.rs
@@ -75,6 +75,16 @@
     control: Vec<String>,
     #[options(help = "let a routed service be without a live target", no_short)]
     allow_empty: bool,
+    #[options(
+        help = "recent asks that may lose their route; none given: any",
+        meta = "N",
+        no_short
+    )]
+    most_lost: Option<u64>,
+    #[options(help = "recent asks that may change service, targets or kind", meta = "N", no_short)]
+    most_changed: Option<u64>,
+    #[options(help = "recent asks that may break a new limit", meta = "N", no_short)]
+    most_limited: Option<u64>,
     #[options(free, required, help = "the plan, JSON")]
     plan: String,
 }
@@ -144,7 +154,15 @@
         eprintln!("{:?}", findings.report(&submit.plan, &text));
         return ExitCode::from(2);
     }
-    let path = format!("/plans?dry-run={dry}&allow-empty={}", submit.allow_empty);
+    let mut path = format!("/plans?dry-run={dry}&allow-empty={}", submit.allow_empty);
+    let most = [
+        ("most-lost", submit.most_lost),
+        ("most-changed", submit.most_changed),
+        ("most-limited", submit.most_limited),
+    ];
+    for (name, most) in most {
+        path += &most.map_or(String::new(), |most| format!("&{name}={most}"));
+    }
     print(&submit.control, &path, Some(given))
 }
 
--- a/programs/control-plane/src/operator.rs
+++ b/programs/control-plane/src/operator.rs
@@ -1,4 +1,5 @@
 use crate::core::Command;
+use crate::rehearse::{self, Allowed};
 use facet::Facet;
 use log::info;
 use postbarrow_constants::coordination::SUBMIT_WAIT_MS;
@@ -6,6 +7,7 @@
 use postbarrow_constants::traffic::RETRY_AFTER_S;
 use postbarrow_messages::{Ask, Response as Told, Submission};
 use postbarrow_plan::Plan;
+use postbarrow_routing::Traffic;
 use rouille::{Request, Response, Server};
 use std::io::{self, Read};
 use std::net::SocketAddr;
@@ -28,6 +30,12 @@
     message: String,
 }
 
+#[derive(Facet)]
+struct Over {
+    error: String,
+    traffic: Traffic,
+}
+
 /// The operator's door, on every control node; each passes questions to the controller.
 pub fn start(
     address: SocketAddr,
@@ -94,6 +102,16 @@
             return refused(400, "the plan has findings", rows.collect());
         }
     };
+    let allowed = match Allowed::read(request) {
+        Ok(allowed) => allowed,
+        Err(findings) => return refused(400, &findings.join("; "), Vec::new()),
+    };
+    let traffic = rehearse::traffic(&plan, ask);
+    let over = allowed.over(&traffic);
+    if !over.is_empty() {
+        let refused = Over { error: over.join("; "), traffic };
+        return told(422, &refused);
+    }
     let says = |name: &str| {
         request.get_param(name).is_some_and(|value| value == "true" || value.is_empty())
     };
@@ -105,7 +123,23 @@
         allowEmpty: says("allow-empty"),
     };
     info!("operator: plan {} with {} routes", plan.version, plan.routes.len());
-    answer(ask(Ask::Submit(submission), SUBMIT_WAIT_MS))
+    answer(with_traffic(ask(Ask::Submit(submission), SUBMIT_WAIT_MS), &traffic))
+}
+
+/// The controller's word on the plan, and beside it what the door measured.
+fn with_traffic(told: Told, traffic: &Traffic) -> Told {
+    let Told::Operator { status: 200, mut body } = told else { return told };
+    if body.pop() == Some(b'}') {
+        body.extend(b",\"traffic\":");
+        body.extend(facet_json::to_vec(traffic).unwrap_or_else(|_| b"null".to_vec()));
+        body.push(b'}');
+    }
+    Told::Operator { status: 200, body }
+}
+
+fn told<'f, T: Facet<'f>>(status: u16, value: &T) -> Response {
+    let body = facet_json::to_vec(value).unwrap_or_default();
+    Response::from_data("application/json", body).with_status_code(status)
 }
 
 fn answer(told: Told) -> Response {
@@ -131,6 +165,5 @@
 }
 
 fn refused(status: u16, error: &str, findings: Vec<Finding>) -> Response {
-    let body = facet_json::to_vec(&Refused { error: error.into(), findings }).unwrap_or_default();
-    Response::from_data("application/json", body).with_status_code(status)
+    told(status, &Refused { error: error.into(), findings })
 }
--- /dev/null
+++ b/programs/control-plane/src/rehearse.rs
@@ -0,0 +1,68 @@
+use postbarrow_constants::coordination::SUBMIT_WAIT_MS;
+use postbarrow_messages::{Ask, Response as Told};
+use postbarrow_plan::Plan;
+use postbarrow_routing::{Recent, Traffic};
+use rouille::Request;
+
+/// The most that a submission allows of the recent asks that it would change.
+#[derive(Default)]
+pub struct Allowed {
+    lost: Option<u64>,
+    changed: Option<u64>,
+    limited: Option<u64>,
+}
+
+impl Allowed {
+    pub fn read(request: &Request) -> Result<Allowed, Vec<String>> {
+        let mut findings = Vec::new();
+        let mut take = |name: &str| {
+            let text = request.get_param(name)?;
+            let number = text.parse().ok();
+            if number.is_none() {
+                findings.push(format!("{name} must be a whole number"));
+            }
+            number
+        };
+        let allowed = Allowed {
+            lost: take("most-lost"),
+            changed: take("most-changed"),
+            limited: take("most-limited"),
+        };
+        if findings.is_empty() { Ok(allowed) } else { Err(findings) }
+    }
+
+    /// What is over the most allowed; a sample that can't tell is over any.
+    pub fn over(&self, traffic: &Traffic) -> Vec<String> {
+        let rows = [
+            ("lose their route", self.lost, traffic.lose_route),
+            ("change service, targets or kind", self.changed, traffic.changed),
+            ("break a limit", self.limited, traffic.limited),
+        ];
+        let mut over: Vec<String> = rows
+            .iter()
+            .filter_map(|(what, most, found)| {
+                let most = (*most)?;
+                (*found > most).then(|| format!("{found} recent asks would {what}, {most} allowed"))
+            })
+            .collect();
+        let asked = rows.iter().any(|(_, most, _)| most.is_some());
+        if asked && traffic.compared == 0 && !traffic.missing.is_empty() {
+            over.push(format!("nothing to measure by: {}", traffic.missing.join("; ")));
+        }
+        over
+    }
+}
+
+/// Recent asks through the plan in force and this one: on the door's own thread, before any Begin.
+pub fn traffic(plan: &Plan, ask: &dyn Fn(Ask, u64) -> Told) -> Traffic {
+    let Told::Recent { samples, seen, seconds } = ask(Ask::Recent, SUBMIT_WAIT_MS) else {
+        return Traffic::unknown("no controller told of recent asks");
+    };
+    let Told::Plan { text, .. } = ask(Ask::Show, SUBMIT_WAIT_MS) else {
+        return Traffic::unknown("no plan is in force to compare with");
+    };
+    match Plan::read(&text) {
+        Ok(before) => Traffic::of(&before, plan, &Recent { samples, seen, seconds }),
+        Err(_) => Traffic::unknown("the plan in force can't be read by this version"),
+    }
+}
--- a/programs/data-plane/src/core.rs
+++ b/programs/data-plane/src/core.rs
@@ -52,6 +52,10 @@
             let nowMs = now_ms();
             if nowMs >= pulseMs {
                 pulseMs = nowMs + PULSE_MS;
+                let (samples, seen) = self.shared.seen();
+                if seen > 0 {
+                    self.handle(nowMs, Input::Saw { samples, seen });
+                }
                 self.handle(nowMs, Input::Pulse);
             }
             let waitMs = pulseMs.saturating_sub(now_ms()).max(1);
--- a/programs/data-plane/src/downstream/serve.rs
+++ b/programs/data-plane/src/downstream/serve.rs
@@ -80,6 +80,7 @@
         return Err(turned(unread, Told::Unready));
     }
     let table = shared.table.load_full();
+    shared.saw(&table, head);
     let entry = match table.find(&head.method, head.path(), &head.headers) {
         Found::Route(entry) => entry,
         Found::NoRoute => return Err(turned(unread, Told::NoRoute)),
--- a/programs/data-plane/src/lib.rs
+++ b/programs/data-plane/src/lib.rs
@@ -7,6 +7,7 @@
 mod fair;
 mod memory;
 mod probe;
+mod proof;
 mod read_call;
 mod share;
 mod upstream;
--- a/programs/data-plane/src/share.rs
+++ b/programs/data-plane/src/share.rs
@@ -1,12 +1,15 @@
 use crate::core::Command;
+use crate::downstream::head::{Head, Length};
 use crate::fair::Clients;
 use crate::memory::Memory;
 use crate::upstream::Pools;
 use arc_swap::ArcSwap;
+use crossbeam_queue::ArrayQueue;
+use postbarrow_constants::plans::{SAMPLE_BYTES, SAMPLES_TOLD, SAMPLES_WAITING};
 use postbarrow_constants::traffic::{BODIES_BYTES, RESPONSES_BYTES};
 use postbarrow_messages::{Ask, Response};
 use postbarrow_routing::Table;
-use postbarrow_state::{Name, Node};
+use postbarrow_state::{Name, Node, Sample};
 use postbarrow_transport::{now_ms, random};
 use sha2::{Digest as _, Sha256};
 use std::sync::Arc;
@@ -26,6 +29,8 @@
     pub memory: Arc<Memory>,
     /// The same for responses.
     pub responses: Arc<Memory>,
+    samples: ArrayQueue<Sample>,
+    seen: AtomicU64,
     pub clients: Clients,
     pub connections: Clients,
     pub asks: AtomicUsize,
@@ -49,6 +54,8 @@
             closed: AtomicBool::new(false),
             memory: Memory::new(BODIES_BYTES as u64),
             responses: Memory::new(RESPONSES_BYTES as u64),
+            samples: ArrayQueue::new(SAMPLES_WAITING),
+            seen: AtomicU64::new(0),
             clients: Clients::default(),
             connections: Clients::default(),
             asks: AtomicUsize::new(0),
@@ -74,6 +81,36 @@
         self.number.fetch_add(1, Relaxed)
     }
 
+    /// Keeps a little of some asks, for rehearsals; of headers only what rules name.
+    pub fn saw(&self, table: &Table, head: &Head) {
+        self.seen.fetch_add(1, Relaxed);
+        if self.samples.is_full() || head.path().len() > SAMPLE_BYTES {
+            return;
+        }
+        let words = table.rule_headers();
+        let named = |(name, value): &&(String, String)| {
+            !words.is_empty()
+                && words.contains(&name.to_ascii_lowercase())
+                && value.len() <= SAMPLE_BYTES
+        };
+        let sample = Sample {
+            method: Name::from(&head.method),
+            path: head.path().to_string(),
+            headers: head.headers.iter().filter(named).cloned().collect(),
+            bodyBytes: match head.length {
+                Length::Sized(sizeBytes) => sizeBytes,
+                Length::None | Length::Chunked => 0,
+            },
+        };
+        let _ = self.samples.push(sample);
+    }
+
+    /// What was seen since the last look.
+    pub fn seen(&self) -> (Vec<Sample>, u64) {
+        let samples = std::iter::from_fn(|| self.samples.pop()).take(SAMPLES_TOLD).collect();
+        (samples, self.seen.swap(0, Relaxed))
+    }
+
     /// A key for an ask that came without one; no other ask gets it, and no client can guess it.
     pub fn made_key(&self) -> Name {
         let number = self.number();
--- a/programs/data-plane/src/upstream.rs
+++ b/programs/data-plane/src/upstream.rs
@@ -1,11 +1,11 @@
 use crate::memory::Reserved;
+use crate::proof::read_proof;
 use crate::wire::{Gate, OnceConnector, Wire};
 use crossbeam_queue::ArrayQueue;
 use postbarrow_constants::traffic::*;
 use postbarrow_node::{Passed, TargetResponse};
-use postbarrow_reading::{Fields, Reading, text};
 use postbarrow_routing::Table;
-use postbarrow_state::{Labels, Name, Target};
+use postbarrow_state::{Name, Target};
 use postbarrow_transport::now_ms;
 use std::collections::HashMap;
 use std::io::Read;
@@ -221,31 +221,3 @@
         }
     }
 }
-
-struct Proof {
-    instance: String,
-    service: String,
-    labels: Labels,
-    occupancy: u64,
-}
-
-fn read_proof(given: &str) -> Result<Proof, String> {
-    let (value, mut reading) = Reading::parse(given).map_err(|findings| findings.to_string())?;
-    let mut proof = None;
-    if let Some(mut fields) = Fields::of(&value, "$", &mut reading) {
-        let instance = fields.text("instance", &mut reading).unwrap_or_default().to_string();
-        let service = fields.text("service", &mut reading).unwrap_or_default().to_string();
-        let occupancy = fields.number("occupancy", 0..=u64::MAX, &mut reading).unwrap_or(0);
-        let mut labels = Labels::new();
-        if fields.get("labels").is_some() {
-            for (label, place, value) in fields.named("labels", &mut reading) {
-                if let Some(value) = text(value, &place, &mut reading) {
-                    labels.insert(label.into(), value.into());
-                }
-            }
-        }
-        proof = Some(Proof { instance, service, labels, occupancy });
-    }
-    let read = reading.finish(proof).map_err(|findings| format!("probe: {findings}"))?;
-    read.ok_or_else(|| "probe: not an object".into())
-}
