--- a/crates/simulation/src/list.rs
+++ b/crates/simulation/src/list.rs
@@ -4,7 +4,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
-const PAGE: usize = 4;
+const PAGES: usize = 4;
+const PAGE_LEAST: usize = 4;
 const WINDOW_US: u64 = 1_000_000;
 const RETRY_MS: u64 = 1_000;
 
@@ -85,7 +86,7 @@
             .rows
             .iter()
             .skip(from)
-            .take(PAGE)
+            .take(PAGE_LEAST.max(self.rows.len().div_ceil(PAGES)))
             .map(|(instance, row)| {
                 format!(
                     "{{\"instance\":\"{instance}\",\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"draining\":{}}}",
