Give each emptied machine of the fleet a place of its own; measure a full log

The runner's fault, not the programs'. Ruled out: the programs' membership, by their logs: 'Address already in use'. Change: places are given out once. snapshot_cost measures memory, slot and restart of a full log.

--- a/crates/controller/examples/snapshot_cost.rs
+++ b/crates/controller/examples/snapshot_cost.rs
@@ -1,19 +1,19 @@
-//! How long a full state takes to encode: the reason it is not done where the hold is kept.
+//! What a full log costs: memory, the thread that keeps the hold, one slot of a small disk, a restart.
 
-use postbarrow_constants::coordination::TICKETS;
+use postbarrow_consensus::{Hard, Member, Snapshot, Write};
+use postbarrow_constants::coordination::{KEPT_BYTES, KEPT_RESPONSE_BYTES, TICKETS};
 use postbarrow_state::*;
+use postbarrow_storage::{FolderDisk, Opened, Storage, open};
 use std::sync::Arc;
 use std::time::Instant;
 
-fn main() {
+fn full(tickets: usize) -> State {
     let mut state = State::default();
-    for at in 0..TICKETS as u64 {
-        let key = Name::from(format!("{:016x}:{at}", 0x1234_5678_9abc_def0u64));
-        let kept = Kept {
-            status: 200,
-            headers: vec![("content-type".into(), "application/json".into())],
-            body: vec![b'x'; 300],
-        };
+    for at in 0..tickets as u64 {
+        let key = Name::from(format!("made-{:x}-{at}-0123456789abcdef01234567", 0x1234_5678u64));
+        let kept = Kept { status: 200, headers: Vec::new(), body: vec![7; KEPT_RESPONSE_BYTES] };
+        let fits = state.keptBytes + kept.size() as u64 <= KEPT_BYTES;
+        state.keptBytes += if fits { kept.size() as u64 } else { 0 };
         let ticket = Ticket {
             key: key.clone(),
             digest: [7; 32],
@@ -22,16 +22,49 @@
             node: 9,
             number: at,
             settled: Some(Settlement::Ran),
-            response: Some(Arc::new(kept)),
+            response: fits.then(|| Arc::new(kept)),
             era: 0,
         };
         state.tickets.insert(key, Arc::new(ticket));
     }
-    let start = Instant::now();
-    let clone = state.clone();
-    let cloned = start.elapsed();
-    let start = Instant::now();
-    let bytes = rmp_serde::to_vec(&clone).expect("a state encodes into memory");
-    let encoded = start.elapsed();
-    println!("{} tickets: clone {cloned:?}, encode {encoded:?}, {} bytes", TICKETS, bytes.len());
+    state
+}
+
+fn memory_mib() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or_default();
+    line.split_whitespace().nth(1).and_then(|kib| kib.parse::<u64>().ok()).unwrap_or(0) / 1_024
+}
+
+fn main() {
+    for tickets in [170 * 900, TICKETS] {
+        let before = memory_mib();
+        let state = full(tickets);
+        println!("{tickets} tickets, {} MiB more in memory", memory_mib().saturating_sub(before));
+        let start = Instant::now();
+        let clone = state.clone();
+        println!("  clone, on the thread that keeps the hold: {:?}", start.elapsed());
+        let start = Instant::now();
+        let bytes = rmp_serde::to_vec(&clone).expect("a state encodes into memory");
+        println!("  encode, aside: {:?}, {} MiB", start.elapsed(), bytes.len() >> 20);
+        let folder = std::env::temp_dir().join(format!("snapshot-cost-{}", std::process::id()));
+        let disk = FolderDisk::new(folder.clone()).expect("a folder");
+        let mut storage = Storage::create(disk, 1).expect("a new disk");
+        let member = Member { id: 1, address: ([127, 0, 0, 1], 1).into() };
+        let snapshot = Snapshot { index: 1, term: 1, members: vec![member], state: bytes };
+        let hard = Hard { term: 1, voted: None };
+        let slot = Write::Slot { snapshot: Arc::new(snapshot), hard, entries: Vec::new() };
+        let start = Instant::now();
+        storage.apply(vec![slot]).expect("a slot is written");
+        println!("  one slot written and synced: {:?}", start.elapsed());
+        let start = Instant::now();
+        let disk = FolderDisk::new(folder.clone()).expect("a folder");
+        let Opened::Whole { recovered, .. } = open(disk).expect("opens") else { return };
+        let opened = start.elapsed();
+        let kept = recovered.snapshot.expect("a snapshot");
+        let read: State = rmp_serde::from_slice(&kept.state).expect("decodes");
+        println!("  restart: disk {opened:?}, state {:?} more", start.elapsed() - opened);
+        assert_eq!(read.tickets.len(), tickets);
+        let _ = std::fs::remove_dir_all(folder);
+    }
 }
--- a/tools/fleet-runner/src/cuts.rs
+++ b/tools/fleet-runner/src/cuts.rs
@@ -105,9 +105,9 @@
     }
 
     /// Each core machine in turn comes back empty elsewhere; then a data node starts on old seeds.
-    pub fn swap_seeds(&mut self, seed: u64) -> Result<(), String> {
+    pub fn swap_seeds(&mut self) -> Result<(), String> {
         for at in 0..3 {
-            self.empty_control(at, 3 + ((seed + at as u64 * 13) % 40) as u16)?;
+            self.empty_control(at)?;
         }
         let old = format!("127.0.0.1:{}", self.first_seed());
         let at = self.data.iter().position(|node| node.words().contains(&old)).unwrap_or(0);
@@ -117,7 +117,9 @@
         self.wait_ready(15_000).map(|_| ())
     }
 
-    pub fn empty_control(&mut self, at: usize, place: u16) -> Result<(), String> {
+    /// Its machine comes back empty, at a place that none had before.
+    pub fn empty_control(&mut self, at: usize) -> Result<(), String> {
+        let place = self.nextPlace;
         for _ in 0..60 {
             if self.three_voters() {
                 break;
@@ -130,6 +132,7 @@
         self.control[at].kill();
         let folder = format!("{}/control-{at}", self.folder);
         std::fs::remove_dir_all(folder).map_err(|error| error.to_string())?;
+        self.nextPlace += 1;
         let words = self.control_words(at, place)?;
         self.control[at].with_words(words);
         self.control[at].begin()?;
--- a/tools/fleet-runner/src/faults.rs
+++ b/tools/fleet-runner/src/faults.rs
@@ -112,13 +112,13 @@
             target.signal(libc::SIGCONT);
             Ok(())
         }
-        Fault::SwapSeeds => fleet.swap_seeds(seed),
+        Fault::SwapSeeds => fleet.swap_seeds(),
         Fault::ListSlow => fleet.trouble("slow 250", 4_000),
         Fault::ListLimited => fleet.trouble("rate 4", 6_000),
         Fault::ListDown => fleet.trouble("down", 6_000),
         Fault::FillDisk => fleet.fill_disk(seed as usize % 3),
         Fault::JumpClocks => fleet.jump_clocks(seed),
-        Fault::EmptyControl => fleet.empty_control(seed as usize % 3, 3 + (seed % 40) as u16),
+        Fault::EmptyControl => fleet.empty_control(seed as usize % 3),
     }
 }
 
