Let a node without a controller seek one every 50 ms

Cause: after a controller's death a node asked everyone only every 150 ms, so up to 150 ms of each outage were waiting for its own next question.

--- a/crates/constants/src/nodes.rs
+++ b/crates/constants/src/nodes.rs
@@ -11,6 +11,8 @@
 
 /// A node asks the controller for term and watermark at this pace; five questions fit in one hold.
 pub const FRESH_MS: u64 = 150;
+/// Without a controller it asks all it knows at this pace: each wait adds to the time without service.
+pub const FRESH_SEEK_MS: u64 = 50;
 /// A node serves this long after it sent the answered question, and no longer.
 pub const NODE_HOLD_MS: u64 = 1_000;
 /// A control node that does not answer this long is left for the next.
--- a/crates/node/src/fresh.rs
+++ b/crates/node/src/fresh.rs
@@ -73,11 +73,12 @@
         if nowMs < self.fresh.dueMs {
             return;
         }
-        self.fresh.dueMs = nowMs + FRESH_MS;
         if nowMs > self.fresh.grantedMs + FRESH_WAIT_MS {
             self.fresh.controller = None;
             self.desk.doubt();
         }
+        let seeks = self.fresh.controller.is_none();
+        self.fresh.dueMs = nowMs + if seeks { FRESH_SEEK_MS } else { FRESH_MS };
         self.fresh.sentMs.retain(|_, sentMs| nowMs < *sentMs + NODE_HOLD_MS);
         self.fresh.grants.retain(|grant| nowMs < grant.sentMs + NODE_HOLD_MS);
         let to = match self.fresh.controller {
