Let remembered calls age by the log's time; move a quiet watch on

A new controller began the ages of remembered calls anew; with a change of controller every minute none was ever forgotten, at 20 000 all writes were shed, 3 852 calls had no answer, and a watch on keys that heard nothing for 25 s went on asking from its old revision until that was trimmed. Ruled out: lost events, for every missing revision came after the watch was told too old; the new shedding itself, which did what it says. Change: remembered calls stand in the state with their era, as tickets do; up to 60 000. A node's watch moves on with the log when nothing matches.

--- a/crates/constants/src/coordination.rs
+++ b/crates/constants/src/coordination.rs
@@ -20,7 +20,7 @@
 /// An Idempotency-Key, at most.
 pub const TICKET_KEY_BYTES: usize = 200;
 /// Results of coordination calls kept for repeats; beyond it calls that change anything are shed.
-pub const REPEATS: usize = 20_000;
+pub const REPEATS: usize = 60_000;
 /// Such a result is kept this long.
 pub const REPEAT_KEEP_MS: u64 = 120_000;
 /// Watch events kept at least this long; the brief asks for about 20 s.
--- a/crates/controller/src/forget.rs
+++ b/crates/controller/src/forget.rs
@@ -12,9 +12,6 @@
                 Line::Data(Record::Settled { key, .. }) => {
                     lead.settledQueue.push_back((era, key.clone()));
                 }
-                Line::Data(Record::Repeat { id, .. }) => {
-                    lead.repeatQueue.push_back((nowMs, id.clone()));
-                }
                 Line::Data(Record::Lock { name, ttlMs, .. }) => {
                     lead.locksDueMs.insert(name.clone(), nowMs + ttlMs);
                 }
@@ -48,14 +45,14 @@
             }
             lead.settledQueue.pop_front();
         }
-        let mut repeats: Vec<Name> = Vec::new();
-        while let Some((atMs, id)) = lead.repeatQueue.front() {
-            if repeats.len() >= FORGET_RECORDS || nowMs < atMs + REPEAT_KEEP_MS {
-                break;
-            }
-            repeats.push(id.clone());
-            lead.repeatQueue.pop_front();
-        }
+        let old = |(era, _): &&(u64, Name)| state.era > era + REPEAT_KEEP_MS / ERA_MS;
+        let repeats: Vec<Name> = state
+            .repeatQueue
+            .iter()
+            .take_while(old)
+            .take(FORGET_RECORDS)
+            .map(|(_, id)| id.clone())
+            .collect();
         lead.historyMarks.push_back((nowMs, state.revision));
         let mut floor = state.historyFloor;
         while let Some((atMs, revision)) = lead.historyMarks.front().copied() {
--- a/crates/controller/src/lead.rs
+++ b/crates/controller/src/lead.rs
@@ -21,7 +21,6 @@
     pub locksDueMs: BTreeMap<Name, u64>,
     /// Settled keys by the era of their settlement.
     pub settledQueue: VecDeque<(u64, Name)>,
-    pub repeatQueue: VecDeque<(u64, Name)>,
     pub historyMarks: VecDeque<(u64, u64)>,
     pub nodes: BTreeMap<Incarnation, Seen>,
     pub samples: Samples,
@@ -51,7 +50,6 @@
             open: None,
             locksDueMs: BTreeMap::new(),
             settledQueue: VecDeque::new(),
-            repeatQueue: VecDeque::new(),
             historyMarks: VecDeque::new(),
             nodes: BTreeMap::new(),
             samples: Samples::default(),
@@ -85,7 +83,6 @@
         let mut settled: Vec<_> = settled.map(|(key, ticket)| (ticket.era, key.clone())).collect();
         settled.sort_unstable();
         lead.settledQueue = settled.into();
-        lead.repeatQueue = state.repeats.keys().map(|id| (nowMs, id.clone())).collect();
         lead.historyMarks.push_back((nowMs, state.revision));
         lead.nodes = state.nodes.keys().map(|node| (*node, Seen::at(nowMs))).collect();
         let orphans = crate::nodes::open_tickets(&state, |node| !state.nodes.contains_key(&node));
--- a/crates/controller/tests/space.rs
+++ b/crates/controller/tests/space.rs
@@ -124,3 +124,28 @@
     assert_eq!(bench.answer(2), Some(&Response::Outcome(Outcome::Freed)), "known ones are told");
     assert_eq!(bench.answer(3), Some(&Response::Outcome(Outcome::Number(0))));
 }
+
+#[test]
+fn a_remembered_call_is_forgotten_in_time_however_often_controllers_change() {
+    let mut bench = Bench::serving();
+    let call = Call::Next { name: "n".into(), by: 1 };
+    bench.ask(1, Ask::Call { id: Some("once".into()), call });
+    bench.settle();
+    let mut passedMs = 0;
+    while bench.state().repeats.contains_key("once") {
+        assert!(passedMs < REPEAT_KEEP_MS + 12 * ERA_MS, "remembered for ever");
+        for _ in 0..22 {
+            bench.pulse(2_000);
+            bench.sync();
+            passedMs += 2_000;
+        }
+        let (entries, term) = (bench.entries.clone(), passedMs / 1_000);
+        let mut next = Bench::new(recovered(&[1], entries.clone(), term));
+        (next.entries, next.nowMs) = (entries, bench.nowMs);
+        bench = next;
+        bench.lead();
+        passedMs += 2_000;
+    }
+    assert!(passedMs >= REPEAT_KEEP_MS, "forgotten after {passedMs} ms");
+    assert!(bench.state().repeatQueue.is_empty());
+}
--- a/crates/state/src/apply.rs
+++ b/crates/state/src/apply.rs
@@ -57,11 +57,16 @@
             }
             Record::Repeat { id, outcome } => {
                 self.repeats.insert(id.clone(), Arc::new(outcome.clone()));
+                self.repeatQueue.push_back((self.era, id.clone()));
             }
             Record::RepeatsForgotten(ids) => {
                 for id in ids {
                     self.repeats.remove(id);
                 }
+                let known = &self.repeats;
+                while self.repeatQueue.front().is_some_and(|(_, id)| !known.contains_key(id)) {
+                    self.repeatQueue.pop_front();
+                }
             }
             Record::HistoryTrimmed { floor } => {
                 while self.history.front().is_some_and(|event| event.revision <= *floor) {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -40,6 +40,9 @@
     /// Bytes of kept responses in all.
     #[serde(default)]
     pub keptBytes: u64,
+    /// Remembered calls, oldest first, by the era of their result.
+    #[serde(default)]
+    pub repeatQueue: Vector<(u64, Name)>,
 }
 
 impl State {
--- a/programs/data-plane/src/calls.rs
+++ b/programs/data-plane/src/calls.rs
@@ -130,11 +130,17 @@
     let untilMs = now_ms() + WATCH_WAIT_MS;
     let first = matches!(call, Call::Watch { after: None, .. });
     let over = || now_ms() >= untilMs || shared.stopping.load(Relaxed) || gone();
+    let mut call = call;
     loop {
-        let call = call.clone();
-        match shared.ask(Ask::Call { id: None, call }, ASK_CONTROLLER_MS) {
-            Response::Outcome(Outcome::Events { events, .. })
-                if events.is_empty() && !first && !over() => {}
+        let asked = Ask::Call { id: None, call: call.clone() };
+        match shared.ask(asked, ASK_CONTROLLER_MS) {
+            Response::Outcome(Outcome::Events { events, next })
+                if events.is_empty() && !first && !over() =>
+            {
+                if let Call::Watch { after, .. } = &mut call {
+                    *after = Some(next);
+                }
+            }
             Response::Outcome(outcome) => return tell(outcome),
             Response::Refused(why) => return error(400, &why),
             _ if over() => return error(503, "no controller responds"),
--- a/programs/data-plane/src/tests/promises.rs
+++ b/programs/data-plane/src/tests/promises.rs
@@ -3,6 +3,7 @@
 use crate::upstream::Proved;
 use postbarrow_messages::{Ask, Response};
 use postbarrow_node::Passed;
+use postbarrow_state::{Call, Change, Event, Outcome};
 
 fn space() -> Reserved {
     Memory::new(1 << 20).reserve(0).unwrap()
@@ -90,3 +91,22 @@
     }
     assert_eq!(found.runs(), 0);
 }
+
+/// What does not match a watch still moves it on, or the history it needs would be trimmed.
+#[test]
+fn a_watch_that_hears_nothing_moves_on_with_the_log() {
+    let answer = |ask: &Ask| match ask {
+        Ask::Call { call: Call::Watch { after: Some(3), .. }, .. } => {
+            Response::Outcome(Outcome::Events { events: Vec::new(), next: 9 })
+        }
+        Ask::Call { call: Call::Watch { after: Some(9), .. }, .. } => {
+            let change = Change::Number(4);
+            let event = Event { revision: 12, name: "n".into(), change };
+            Response::Outcome(Outcome::Events { events: vec![event], next: 12 })
+        }
+        _ => Response::Outcome(Outcome::TooOld { floor: 5 }),
+    };
+    let rig = Rig::new(Vec::new(), answer);
+    let told = rig.get("/coordination/watch/numbers?after=3");
+    assert!(told.contains("\"next\":12") && told.contains("200 OK"), "{told}");
+}
