--- a/programs/data-plane/src/tests/promises.rs
+++ b/programs/data-plane/src/tests/promises.rs
@@ -4,6 +4,8 @@
 use postbarrow_messages::{Ask, Response};
 use postbarrow_node::Passed;
 use postbarrow_state::{Call, Change, Event, Outcome};
+use std::io::{Read, Write};
+use std::net::TcpStream;
 
 fn space() -> Reserved {
     Memory::new(1 << 20).reserve(0).unwrap()
@@ -107,6 +109,11 @@
         _ => Response::Outcome(Outcome::TooOld { floor: 5 }),
     };
     let rig = Rig::new(Vec::new(), answer);
-    let told = rig.get("/coordination/watch/numbers?after=3");
+    let mut stream = TcpStream::connect(rig.http).unwrap();
+    let head =
+        "GET /coordination/watch/numbers?after=3 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut told = String::new();
+    stream.read_to_string(&mut told).unwrap();
     assert!(told.contains("\"next\":12") && told.contains("200 OK"), "{told}");
 }
