Refuse what the tools can't run, all findings at once, before anything starts

Cause: a wrong fault or deployment was told only after the fleet had started, one finding at a time, and simulate with no thread or seed said that all was well. A wrong kind of target fault ended the stand-ins, not the run. Ruled out: nothing else; tried by hand.

--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -35,6 +35,18 @@
     zone_us: u64,
 }
 
+/// What can't be run is told, all of it, and nothing is.
+fn findings(cli: &Cli) -> Vec<String> {
+    let least = [
+        ("--seeds", cli.seeds, 1),
+        ("--threads", cli.threads as u64, 1),
+        ("--nodes", cli.nodes as u64, 2),
+        ("--targets", cli.targets as u64, 6),
+    ];
+    let low = least.iter().filter(|(_, given, least)| given < least);
+    low.map(|(flag, given, least)| format!("{flag} {given}: at least {least}")).collect()
+}
+
 /// Every step of every kind, until the controller takes no more.
 fn steps(cli: &Cli) -> ExitCode {
     let kinds: Vec<(What, How)> =
@@ -68,6 +80,11 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse_args_default_or_exit();
+    let findings = findings(&cli);
+    if !findings.is_empty() {
+        findings.iter().for_each(|finding| eprintln!("simulate: {finding}"));
+        return ExitCode::from(2);
+    }
     if cli.steps {
         return steps(&cli);
     }
--- a/tools/fleet-runner/src/main.rs
+++ b/tools/fleet-runner/src/main.rs
@@ -75,12 +75,35 @@
     }
 }
 
+/// Everything that can't be run, told together before any process starts.
+fn checked(cli: &Cli) -> Result<Vec<(f64, schedule::Fault)>, String> {
+    let mut findings = Vec::new();
+    if let Err(error) = spec::Spec::of(cli) {
+        findings.push(format!("--deployment {error}"));
+    }
+    let known = ["lost", "garbage", "cut", "endless", "lie", "double"];
+    for kind in cli.target_faults.split(',').filter(|kind| !known.contains(kind)) {
+        findings.push(format!("--target-faults {kind:?}: one of {}", known.join(", ")));
+    }
+    if cli.per_mille > 1_000 {
+        findings.push(format!("--per-mille {}: at most 1000", cli.per_mille));
+    }
+    if cli.seconds == 0 || cli.scale == 0 {
+        findings.push("--seconds and --scale: at least 1".into());
+    }
+    let schedule = schedule::schedule(cli);
+    if let Err(error) = &schedule {
+        findings.push(format!("--faults {error}"));
+    }
+    if findings.is_empty() { schedule } else { Err(findings.join("; ")) }
+}
+
 fn run(cli: &Cli) -> Result<bool, String> {
+    let schedule = checked(cli)?;
     let spec = spec::Spec::of(cli)?;
     let mut fleet = fleet::Fleet::start(cli, spec)?;
     println!("fleet: ready after {} ms", fleet.wait_ready(30_000)?);
     let mut load = fleet.start_load(cli)?;
-    let schedule = schedule::schedule(cli)?;
     let told = faults::run(cli, &mut fleet, &schedule);
     let sound = load.wait().map_err(|error| error.to_string())?.success();
     let healed = fleet.wait_ready(20_000);
