--- a/crates/controller/src/list.rs
+++ b/crates/controller/src/list.rs
@@ -49,11 +49,8 @@
         if self.is_leaving() {
             return;
         }
-        let Some(known) = self.current().map(|state| state.targets.keys().cloned().collect())
-        else {
-            return;
-        };
-        let known: Vec<Name> = known;
+        let Some(state) = self.current() else { return };
+        let known: Vec<Name> = state.targets.keys().cloned().collect();
         let Some(lead) = &mut self.lead else { return };
         let number = result.number;
         let listed = match result.fetched {
