--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -4,14 +4,22 @@
 use std::collections::HashMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
-use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::sync::mpsc::{Receiver, SendError, Sender, channel};
 use std::thread;
 use std::time::Duration;
 
 /// Outgoing links, one thread each. Frames may be lost, never reordered within a link's life.
 pub struct Links {
     own: SocketAddr,
-    links: HashMap<SocketAddr, SyncSender<Message>>,
+    links: HashMap<SocketAddr, Link>,
+}
+
+/// Frames waiting are counted beside the queue: one made for so many would take a megabyte a link.
+struct Link {
+    queue: Sender<Message>,
+    waiting: Arc<AtomicUsize>,
 }
 
 impl Links {
@@ -22,34 +30,38 @@
     pub fn send(&mut self, to: SocketAddr, message: Message) {
         let own = self.own;
         let link = self.links.entry(to).or_insert_with(|| start(own, to));
-        match link.try_send(message) {
-            Ok(()) => {}
-            Err(TrySendError::Full(_)) => debug!("link: {to} is full"),
-            Err(TrySendError::Disconnected(message)) => {
-                let link = start(own, to);
-                let _ = link.try_send(message);
-                self.links.insert(to, link);
-            }
+        if link.waiting.load(Relaxed) >= LINK_FRAMES {
+            return debug!("link: {to} is full");
+        }
+        link.waiting.fetch_add(1, Relaxed);
+        if let Err(SendError(message)) = link.queue.send(message) {
+            let link = start(own, to);
+            link.waiting.fetch_add(1, Relaxed);
+            let _ = link.queue.send(message);
+            self.links.insert(to, link);
         }
     }
 }
 
-fn start(own: SocketAddr, to: SocketAddr) -> SyncSender<Message> {
-    let (sender, receiver) = sync_channel(LINK_FRAMES);
+fn start(own: SocketAddr, to: SocketAddr) -> Link {
+    let (queue, receiver) = channel();
+    let waiting = Arc::new(AtomicUsize::new(0));
+    let count = waiting.clone();
     let spawned = thread::Builder::new()
         .name(format!("link {to}"))
         .stack_size(STACK_BYTES)
-        .spawn(move || run(own, to, &receiver));
+        .spawn(move || run(own, to, &receiver, &count));
     if let Err(error) = spawned {
         warn!("link: no thread for {to}: {error}");
     }
-    sender
+    Link { queue, waiting }
 }
 
-fn run(own: SocketAddr, to: SocketAddr, queue: &Receiver<Message>) {
+fn run(own: SocketAddr, to: SocketAddr, queue: &Receiver<Message>, waiting: &AtomicUsize) {
     let mut stream: Option<TcpStream> = None;
     let mut down = false;
     while let Ok(message) = queue.recv() {
+        waiting.fetch_sub(1, Relaxed);
         let frame = match to_frame(&Envelope { from: own, message }) {
             Ok(frame) => frame,
             Err(error) => {
@@ -66,7 +78,9 @@
                     }
                     down = true;
                     thread::sleep(Duration::from_millis(LINK_AGAIN_MS));
-                    while queue.try_recv().is_ok() {}
+                    while queue.try_recv().is_ok() {
+                        waiting.fetch_sub(1, Relaxed);
+                    }
                     continue;
                 }
             }
--- a/programs/data-plane/src/tests/asks.rs
+++ b/programs/data-plane/src/tests/asks.rs
@@ -157,6 +157,9 @@
     assert!(shed.starts_with("HTTP/1.1 503") && shed.contains("Retry-After: 1"), "{shed}");
     assert!(shed.contains("Postbarrow-Outcome: not-run"), "{shed}");
     rig.shared.asks.store(0, Relaxed);
+    while rig.shared.downstreams.load(Relaxed) > 0 {
+        std::thread::yield_now();
+    }
     rig.shared.downstreams.store(postbarrow_constants::traffic::DOWNSTREAMS, Relaxed);
     let mut stream = std::net::TcpStream::connect(rig.http).unwrap();
     let mut told = String::new();
