Elect at once when every member says in one round that it does not lead

Cause: after a loss of all power the core was back 0.2 s after its machines, and then waited 600 to 900 ms for a hold that no process could have any more; nodes told 503 with 0.3 s to come back, and clients have one further try. A hold is only in its leader's memory: a voter that just started asks all others, and where all say 'not me' their bound is void, unless they heard a leader after their word. Tests: votes.rs, two of them fail without the round's number and without the voter's own check.

--- /dev/null
+++ b/crates/consensus/src/clear.rs
@@ -0,0 +1,59 @@
+use crate::*;
+use postbarrow_constants::consensus::{ELECTION_MIN_MS, WHO_MS};
+
+/// A hold is only in the memory of who leads. So when every member says in one round that it does
+/// not lead, no hold is left, and nobody need wait for its end: after all have restarted at once,
+/// or the leader alone.
+impl Consensus {
+    /// One that just started and knows of no leader asks all others, round after round.
+    pub(crate) fn who_pulse(&mut self, nowMs: u64) {
+        let waits = self.role == Role::Follower
+            && self.leader.is_none()
+            && nowMs < self.startedMs + ELECTION_MIN_MS
+            && self.log.is_member(self.id);
+        if !waits || nowMs < self.whoDueMs {
+            return;
+        }
+        self.whoDueMs = nowMs + WHO_MS;
+        self.round += 1;
+        self.free.clear();
+        let (term, round) = (self.term, self.round);
+        for to in self.others() {
+            self.send(to, Message::Who { term, round });
+        }
+    }
+
+    pub(crate) fn on_who(&mut self, from: Member, round: u64) {
+        let free = self.role != Role::Leader;
+        self.freed = free;
+        self.send(from, Message::WhoResponse { term: self.term, round, free });
+    }
+
+    pub(crate) fn on_who_response(
+        &mut self,
+        nowMs: u64,
+        from: Member,
+        term: u64,
+        round: u64,
+        free: bool,
+    ) {
+        let waits = self.role == Role::Follower && self.leader.is_none();
+        if round != self.round || !free || !waits || !self.log.is_member(self.id) {
+            return;
+        }
+        if term > self.term {
+            return self.follow(nowMs, term, None);
+        }
+        self.free.insert(from.id);
+        if self.others().iter().all(|other| self.free.contains(&other.id)) {
+            self.round += 1;
+            self.freed = true;
+            self.start_pre_vote(nowMs, true);
+        }
+    }
+
+    /// Since this one said that it does not lead, nobody else was heard to.
+    pub(crate) fn is_clear(&self, ask: &VoteAsk) -> bool {
+        ask.clear && self.freed && self.role != Role::Leader
+    }
+}
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -11,20 +11,21 @@
         self.log.members().len() / 2 + 1
     }
 
-    fn vote_ask(&self, term: u64, handed: bool) -> VoteAsk {
-        VoteAsk { term, last: self.log.last(), lastTerm: self.log.last_term(), handed }
+    fn vote_ask(&self, term: u64, handed: bool, clear: bool) -> VoteAsk {
+        VoteAsk { term, last: self.log.last(), lastTerm: self.log.last_term(), handed, clear }
     }
 
-    fn others(&self) -> Vec<Member> {
+    pub(crate) fn others(&self) -> Vec<Member> {
         self.log.members().iter().filter(|member| member.id != self.id).copied().collect()
     }
 
-    pub(crate) fn start_pre_vote(&mut self, nowMs: u64) {
+    pub(crate) fn start_pre_vote(&mut self, nowMs: u64, clear: bool) {
+        self.clear = clear;
         self.set_election(nowMs);
         self.set_role(Role::PreCandidate);
         self.leader = None;
         self.votes = [self.id].into();
-        let ask = self.vote_ask(self.term + 1, false);
+        let ask = self.vote_ask(self.term + 1, false, clear);
         for to in self.others() {
             self.send(to, Message::PreVote(ask.clone()));
         }
@@ -40,7 +41,7 @@
         self.voted = Some(self.id);
         self.votes = [self.id].into();
         self.write_hard();
-        let ask = self.vote_ask(self.term, handed);
+        let ask = self.vote_ask(self.term, handed, self.clear && !handed);
         for to in self.others() {
             self.send_after_sync(to, Message::Vote(ask.clone()));
         }
@@ -63,7 +64,7 @@
     /// it joined must still vote, or the others may lack a majority for ever.
     pub(crate) fn on_pre_vote(&mut self, nowMs: u64, from: Member, ask: VoteAsk) {
         let granted = ask.term > self.term
-            && !self.bound_to_leader(nowMs)
+            && (!self.bound_to_leader(nowMs) || self.is_clear(&ask))
             && self.up_to_date(&ask)
             && self.yields_to(&from, &ask);
         if granted && self.role != Role::Leader {
@@ -105,7 +106,7 @@
     }
 
     pub(crate) fn on_vote(&mut self, nowMs: u64, from: Member, ask: VoteAsk) {
-        if self.bound_to_leader(nowMs) && !ask.handed {
+        if self.bound_to_leader(nowMs) && !ask.handed && !self.is_clear(&ask) {
             return;
         }
         if ask.term > self.term {
@@ -147,6 +148,8 @@
             self.voted = None;
             self.write_hard();
         }
+        self.clear = false;
+        self.freed &= leader.is_none();
         if self.role == Role::Leader {
             self.progress.clear();
             self.learners.clear();
@@ -166,6 +169,7 @@
 
     fn become_leader(&mut self, nowMs: u64) {
         self.set_role(Role::Leader);
+        self.freed = false;
         self.leader = Some(self.id);
         self.incoming = None;
         self.handing = false;
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -1,5 +1,6 @@
 #![doc = include_str!("../README.md")]
 
+mod clear;
 mod election;
 mod handover;
 mod log;
@@ -43,6 +44,14 @@
     appended: VecDeque<(u64, u64)>,
     selfMatch: u64,
     held: VecDeque<(u64, Member, Message)>,
+    /// Rounds of asking all others whether they lead, and who said no in this one.
+    round: u64,
+    whoDueMs: u64,
+    free: BTreeSet<MemberId>,
+    /// This one said that it does not lead, and has heard nobody since who does.
+    freed: bool,
+    /// The present candidacy follows a round in which nobody led.
+    clear: bool,
     random: u64,
     effects: Vec<Effect>,
 }
@@ -75,6 +84,11 @@
             synced: 0,
             appended: VecDeque::new(),
             held: VecDeque::new(),
+            round: 0,
+            whoDueMs: nowMs,
+            free: BTreeSet::new(),
+            freed: false,
+            clear: false,
             random: seed | 1,
             effects: Vec::new(),
         };
@@ -110,6 +124,10 @@
             Message::AppendResponse(response) => self.on_append_response(nowMs, from, response),
             Message::Snapshot(part) => self.on_snapshot(nowMs, from, part),
             Message::SnapshotResponse(got) => self.on_snapshot_response(nowMs, from, got),
+            Message::Who { round, .. } => self.on_who(from, round),
+            Message::WhoResponse { term, round, free } => {
+                self.on_who_response(nowMs, from, term, round, free)
+            }
             Message::TakeOver(ask) => self.on_take_over(nowMs, from, ask),
         }
     }
@@ -118,9 +136,9 @@
         match self.role {
             Role::Leader => self.leader_pulse(nowMs),
             _ if nowMs >= self.electionDueMs && self.log.is_member(self.id) => {
-                self.start_pre_vote(nowMs)
+                self.start_pre_vote(nowMs, false)
             }
-            _ => {}
+            _ => self.who_pulse(nowMs),
         }
     }
 
--- a/crates/consensus/src/replicate.rs
+++ b/crates/consensus/src/replicate.rs
@@ -79,6 +79,7 @@
             self.follow(nowMs, append.term, Some(from.id));
         }
         self.heardMs = nowMs;
+        self.freed = false;
         self.note_offset(nowMs, append.sentMs);
         self.set_election(nowMs);
         let mut response =
--- a/crates/consensus/src/snapshot.rs
+++ b/crates/consensus/src/snapshot.rs
@@ -65,6 +65,7 @@
             self.follow(nowMs, part.term, Some(from.id));
         }
         self.heardMs = nowMs;
+        self.freed = false;
         self.set_election(nowMs);
         let mut got = SnapshotResponse {
             term: self.term,
--- a/crates/consensus/src/types.rs
+++ b/crates/consensus/src/types.rs
@@ -74,6 +74,9 @@
     pub lastTerm: u64,
     /// The leader itself gave up its hold for this one.
     pub handed: bool,
+    /// In one round every member said that it does not lead.
+    #[serde(default)]
+    pub clear: bool,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -128,14 +131,30 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Message {
     PreVote(VoteAsk),
-    PreVoteResponse { term: u64, granted: bool },
+    PreVoteResponse {
+        term: u64,
+        granted: bool,
+    },
     Vote(VoteAsk),
-    VoteResponse { term: u64, granted: bool },
+    VoteResponse {
+        term: u64,
+        granted: bool,
+    },
     Append(Append),
     AppendResponse(AppendResponse),
     Snapshot(SnapshotPart),
     SnapshotResponse(SnapshotResponse),
     TakeOver(TakeOver),
+    /// Asks whether this one leads.
+    Who {
+        term: u64,
+        round: u64,
+    },
+    WhoResponse {
+        term: u64,
+        round: u64,
+        free: bool,
+    },
 }
 
 #[derive(Clone, Debug)]
--- a/crates/consensus/tests/handover.rs
+++ b/crates/consensus/tests/handover.rs
@@ -89,7 +89,7 @@
         );
         assert!(effects.is_empty(), "from {from}, term {term}: {effects:?}");
     }
-    let vote = VoteAsk { term: 2, last: 9, lastTerm: 9, handed: false };
+    let vote = VoteAsk { term: 2, last: 9, lastTerm: 9, handed: false, clear: false };
     let message = Message::Vote(vote);
     let effects = three.nodes[1].handle(three.nowMs, Input::Receive { from: member(3), message });
     assert!(effects.is_empty(), "a promise to a leader binds unless that leader gave up");
--- a/crates/consensus/tests/votes.rs
+++ b/crates/consensus/tests/votes.rs
@@ -23,7 +23,7 @@
 }
 
 fn ask(term: u64) -> VoteAsk {
-    VoteAsk { term, last: 0, lastTerm: 0, handed: false }
+    VoteAsk { term, last: 0, lastTerm: 0, handed: false, clear: false }
 }
 
 fn append(term: u64) -> Message {
@@ -101,7 +101,52 @@
     assert!(said(&sync(&mut node, START_MS, &effects)));
     let shorter = receive(&mut node, nowMs, 3, Message::Vote(ask(5)));
     assert_eq!(granted(&sync(&mut node, nowMs, &shorter)), Some(false));
-    let longer = VoteAsk { term: 6, last: 1, lastTerm: 1, handed: false };
+    let longer = VoteAsk { term: 6, last: 1, lastTerm: 1, handed: false, clear: false };
     let longer = receive(&mut node, nowMs, 3, Message::Vote(longer));
     assert_eq!(granted(&sync(&mut node, nowMs, &longer)), Some(true));
 }
+
+fn clear(term: u64) -> VoteAsk {
+    VoteAsk { clear: true, ..ask(term) }
+}
+
+fn asked(effects: &[Effect]) -> Option<u64> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Send { message: Message::Who { round, .. }, .. } => Some(*round),
+        _ => None,
+    })
+}
+
+#[test]
+fn when_all_say_in_one_round_that_they_do_not_lead_nobody_waits_for_a_hold() {
+    let mut node = voter(START_MS, Hard::default());
+    let round = asked(&node.handle(START_MS + 20, Input::Pulse)).expect("it asks at once");
+    let free = |round| Message::WhoResponse { term: 0, round, free: true };
+    assert!(receive(&mut node, START_MS + 21, 2, free(round)).is_empty(), "one is not all");
+    let tries = receive(&mut node, START_MS + 22, 3, free(round));
+    let pre = |effect: &Effect| matches!(effect, Effect::Send { message: Message::PreVote(ask), .. } if ask.clear);
+    assert!(tries.iter().any(pre), "both others said so in one round");
+    let mut node = voter(START_MS, Hard::default());
+    let first = asked(&node.handle(START_MS + 20, Input::Pulse)).unwrap();
+    let second = asked(&node.handle(START_MS + 120, Input::Pulse)).unwrap();
+    assert!(receive(&mut node, START_MS + 121, 2, free(first)).is_empty());
+    assert!(receive(&mut node, START_MS + 122, 3, free(second)).is_empty(), "two rounds");
+    let leads = Message::WhoResponse { term: 0, round: second, free: false };
+    assert!(receive(&mut node, START_MS + 123, 2, leads).is_empty(), "one leads");
+}
+
+#[test]
+fn a_voter_that_heard_a_leader_since_its_word_is_bound_all_the_same() {
+    let mut node = voter(START_MS, Hard::default());
+    let soonMs = START_MS + 100;
+    assert_eq!(granted(&receive(&mut node, soonMs, 3, Message::PreVote(clear(2)))), Some(false));
+    receive(&mut node, soonMs, 3, Message::Who { term: 0, round: 1 });
+    assert_eq!(granted(&receive(&mut node, soonMs, 3, Message::PreVote(ask(2)))), Some(false));
+    assert_eq!(granted(&receive(&mut node, soonMs, 3, Message::PreVote(clear(2)))), Some(true));
+    receive(&mut node, soonMs + 1, 2, append(1));
+    assert_eq!(granted(&receive(&mut node, soonMs, 3, Message::PreVote(clear(2)))), Some(false));
+    assert!(receive(&mut node, soonMs + 2, 3, Message::Vote(clear(2))).is_empty());
+    receive(&mut node, soonMs + 3, 3, Message::Who { term: 0, round: 2 });
+    receive(&mut node, soonMs + 4, 2, append(1));
+    assert!(receive(&mut node, soonMs + 5, 3, Message::Vote(clear(2))).is_empty(), "heard again");
+}
--- a/crates/constants/src/consensus.rs
+++ b/crates/constants/src/consensus.rs
@@ -38,3 +38,5 @@
 pub const GREET_MS: u64 = 200;
 /// A fresh node unheard for ten greetings is no longer counted.
 pub const HEARD_KEEP_MS: u64 = 10 * GREET_MS;
+/// A voter that just started asks the others at this pace whether any of them leads.
+pub const WHO_MS: u64 = 60;
