Let a member that lost its disk say that its old self does not lead

Cause: after wipe_after_ack one old member never answers, so its round was never whole and the others waited 600 to 900 ms for a hold that nobody had. The process at its address answers for it: its memory is gone, so is any hold. It says nothing else for it, and votes never.

--- a/crates/controller/src/greet.rs
+++ b/crates/controller/src/greet.rs
@@ -107,6 +107,14 @@
         self.log(nowMs, consensus::Input::Learner(greet.member));
     }
 
+    /// Another member stood at this address before, and lost its disk: it leads no more, for its
+    /// process is gone. That is all that can be said for it.
+    pub(crate) fn vouch(&mut self, asker: Member, before: MemberId, round: u64) {
+        let before = Member { id: before, address: self.own.address };
+        let message = consensus::Message::WhoResponse { term: 0, round, free: true };
+        self.send(asker.address, Message::Consensus { from: before, to: asker.id, message });
+    }
+
     pub(crate) fn introduce(&mut self, from: SocketAddr) {
         let members: Vec<SocketAddr> =
             self.consensus.members().iter().map(|member| member.address).collect();
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -121,6 +121,9 @@
             Message::Consensus { from, to, message } if to == self.own.id => {
                 self.log(nowMs, consensus::Input::Receive { from, message })
             }
+            Message::Consensus { from, to, message: consensus::Message::Who { round, .. } } => {
+                self.vouch(from, to, round)
+            }
             Message::Greet(greet) => self.on_greet(nowMs, from, greet),
             Message::Form(members) => self.log(nowMs, consensus::Input::Form(members)),
             Message::Introduce => self.introduce(from),
