Choose targets by their free slots: own asks from the choice on, reports that fade

Where the list tells slots, the target with the most room is taken: this node's asks from the choice on, and what its responses told of others, which drifts towards the service's usual with 400 ms. The own zone weighs a tenth of a target.

--- a/crates/constants/src/traffic.rs
+++ b/crates/constants/src/traffic.rs
@@ -95,3 +95,11 @@
 pub const DESKS: usize = 512;
 /// A process looks for signals at this pace; a stop has seconds.
 pub const LOOK_FOR_SIGNALS_MS: u64 = 50;
+/// What a target told of its occupancy is worth a third after this: about one ask's time.
+pub const REPORT_FADES_MS: f64 = 400.0;
+/// Another zone costs as much as so great a part of a target's slots.
+pub const FAR_SLOTS: f64 = 0.1;
+/// Targets closer than this in their part of taken slots are drawn by lot.
+pub const CHANCE_SLOTS: f64 = 0.1;
+/// A cold target counts as so many times as full.
+pub const COLD_TIMES: f64 = 2.0;
--- a/crates/controller/tests/duties.rs
+++ b/crates/controller/tests/duties.rs
@@ -1,8 +1,8 @@
 mod bench;
 use bench::*;
+use postbarrow_consensus::Recovered;
 use postbarrow_constants::coordination::*;
 use postbarrow_constants::nodes::*;
-use postbarrow_consensus::Recovered;
 use postbarrow_controller::{Fetched, Input};
 use postbarrow_messages::*;
 use postbarrow_state::*;
--- a/crates/routing/src/pick.rs
+++ b/crates/routing/src/pick.rs
@@ -1,5 +1,5 @@
 use crate::mix;
-use postbarrow_constants::traffic::{FAILED_PAUSE_MS, ZONE_SLACK_ASKS};
+use postbarrow_constants::traffic::*;
 use postbarrow_state::{Name, State, Target};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -9,7 +9,9 @@
 #[derive(Debug, Default)]
 pub struct Load {
     atWork: AtomicU64,
+    /// What a response or a probe told last, without this node's own asks, and when.
     reported: AtomicU64,
+    reportedMs: AtomicU64,
     failedUntilMs: AtomicU64,
 }
 
@@ -26,6 +28,20 @@
     pub fn report(&self, occupancy: u64) {
         self.reported.store(occupancy, Relaxed);
     }
+    /// The same from a target with known slots, whose word grows old.
+    pub fn report_at(&self, nowMs: u64, occupancy: u64) {
+        self.reported.store(occupancy, Relaxed);
+        self.reportedMs.store(nowMs, Relaxed);
+    }
+    /// Asks of others there, as far as is known: what was told drifts towards what is usual.
+    fn others(&self, nowMs: u64, usual: f64) -> f64 {
+        let toldMs = self.reportedMs.load(Relaxed);
+        if toldMs == 0 {
+            return usual;
+        }
+        let age = nowMs.saturating_sub(toldMs) as f64 / REPORT_FADES_MS;
+        usual + (self.reported.load(Relaxed) as f64 - usual) * (-age).exp()
+    }
     pub fn failed(&self, nowMs: u64) {
         self.failedUntilMs.store(nowMs + FAILED_PAUSE_MS, Relaxed);
     }
@@ -63,6 +79,9 @@
         targets.iter().filter(fresh).filter(|choice| !choice.1.is_failed(nowMs)).collect();
     let all: Vec<&Choice> =
         if sound.is_empty() { targets.iter().filter(fresh).collect() } else { sound };
+    if all.iter().all(|choice| choice.0.slots > 0) {
+        return by_slots(&all, zone, nowMs, seed).cloned();
+    }
     let near: Vec<&Choice> = all.iter().filter(|choice| choice.0.zone == zone).copied().collect();
     let far = emptier(&all, seed)?;
     let chosen = match emptier(&near, mix(seed)) {
@@ -72,6 +91,25 @@
     Some(chosen.clone())
 }
 
+/// The target with the most room, as far as this node knows: its own asks and the last reports.
+fn by_slots<'c>(among: &[&'c Choice], zone: &str, nowMs: u64, seed: u64) -> Option<&'c Choice> {
+    let told = among.iter().filter(|choice| choice.1.reportedMs.load(Relaxed) > 0);
+    let (sum, count) = told
+        .fold((0, 0), |(sum, count), choice| (sum + choice.1.reported.load(Relaxed), count + 1));
+    let usual = if count == 0 { 0.0 } else { sum as f64 / count as f64 };
+    let mut drawn = seed;
+    let mut score = |choice: &Choice| {
+        drawn = mix(drawn);
+        let chance = (drawn % 1_024) as f64 / 1_024.0 * CHANCE_SLOTS;
+        let asks = choice.1.at_work() as f64 + choice.1.others(nowMs, usual) + 1.0;
+        let cold = if choice.0.cold { COLD_TIMES } else { 1.0 };
+        let far = if choice.0.zone == zone { 0.0 } else { FAR_SLOTS };
+        asks * cold / choice.0.slots as f64 + far + chance
+    };
+    let scored = among.iter().map(|choice| (score(choice), *choice));
+    scored.min_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, choice)| choice)
+}
+
 fn emptier<'c>(among: &[&'c Choice], seed: u64) -> Option<&'c Choice> {
     let count = among.len() as u64;
     if count == 0 {
--- a/programs/data-plane/src/ask.rs
+++ b/programs/data-plane/src/ask.rs
@@ -55,7 +55,7 @@
         body,
         upstream: None,
         target: None,
-        load: None,
+        entered: None,
         memory: None,
     };
     let mut event = Event::Start;
@@ -95,12 +95,13 @@
     body: Vec<u8>,
     upstream: Option<Upstream>,
     target: Option<Arc<Target>>,
-    load: Option<Arc<Load>>,
+    entered: Option<Entered>,
     memory: Option<Reserved>,
 }
 
 impl Work<'_> {
     fn connect(&mut self, target: Arc<Target>, load: Arc<Load>, waitMs: u64) -> Event {
+        self.entered = Some(Entered::new(load.clone()));
         let kept = self.shared.pools.load().take(&target);
         let named = self.shared.dialect.named().is_some();
         let opened = match kept {
@@ -112,7 +113,6 @@
             }),
         };
         self.target = Some(target);
-        self.load = Some(load);
         match opened {
             Ok(upstream) => {
                 self.upstream = Some(upstream);
@@ -123,8 +123,8 @@
     }
 
     fn pass(&mut self, waitMs: u64, untilMs: u64) -> Passed {
-        let (Some(upstream), Some(target), Some(load)) =
-            (self.upstream.take(), &self.target, &self.load)
+        let (Some(upstream), Some(target), Some(entered)) =
+            (self.upstream.take(), &self.target, self.entered.take())
         else {
             return Passed::Unsent("no connection".into());
         };
@@ -134,7 +134,6 @@
         let dialect = self.shared.dialect.as_ref();
         let headers = on_to_target(dialect, self.head, &target.instance, waitMs);
         let gate = self.gate(target.instance.clone(), untilMs);
-        load.enter();
         let (passed, back) = match (upstream, dialect.named()) {
             (Upstream::Straight(straight), Some(named)) => {
                 let (head, body) = (self.head, &self.body[..]);
@@ -151,11 +150,11 @@
             }
             (Upstream::Straight(_), None) => (Passed::Unsent("no name to send".into()), None),
         };
-        load.leave();
+        let load = entered.leave();
         if let (Passed::Whole(response), Some(named)) = (&passed, dialect.named())
             && let Some(occupancy) = named.occupancy(response)
         {
-            load.report(occupancy.saturating_sub(load.at_work()));
+            load.report_at(now_ms(), occupancy.saturating_sub(load.at_work()));
         }
         self.memory = Some(memory);
         if let Some(upstream) = back {
@@ -174,6 +173,26 @@
     }
 }
 
+/// Counted at its target from the choice on, so that two asks at once don't choose the same place.
+struct Entered(Arc<Load>);
+
+impl Entered {
+    fn new(load: Arc<Load>) -> Entered {
+        load.enter();
+        Entered(load)
+    }
+
+    fn leave(self) -> Arc<Load> {
+        self.0.clone()
+    }
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        self.0.leave();
+    }
+}
+
 /// What makes two requests under one key the same request.
 fn digest(head: &Head, body: &[u8]) -> Digest {
     let mut hash = Sha256::new();
