Take holds, stops, budgets, memory and disk bounds from what a deployment sets

Cause: constants stood for one deployment: a stopping node was unready for 1 s (the platform needs two missed looks), kept 256 MiB for bodies on a machine of 260 MB, and wrote slots after 32 MiB of log on a disk of 64. Bounds of a deployment (60 % of the nearer of drain and in-force is the hold, 42 % of the grace is unready, a quarter of the memory for bodies each way, an eighth of the disk for the log) come with the settings; without them everything is as it was. A plan may bound heads, their time and idle times of callers. A node says in its log when it begins and ceases to serve.

--- a/crates/constants/src/plans.rs
+++ b/crates/constants/src/plans.rs
@@ -57,3 +57,7 @@
 pub const PRECEDENCE_MOST: u64 = 255;
 /// Weight of one share; sums stay far below a word's end.
 pub const WEIGHT_MOST: u64 = 1_000_000;
+/// Largest head that a plan may allow; each connection may hold one.
+pub const HEAD_MOST_BYTES: u64 = 256 * 1024;
+/// Longest idle time of a client's connection that a plan may allow.
+pub const IDLE_MOST_MS: u64 = 3_600_000;
--- a/crates/constants/src/traffic.rs
+++ b/crates/constants/src/traffic.rs
@@ -31,10 +31,8 @@
 /// Head of a request, and its headers.
 pub const HEAD_BYTES: usize = 32 * 1024;
 pub const HEADERS: usize = 100;
-/// Bodies of requests held in memory by one node.
+/// Bodies of requests held in memory by one node; as much again for those of responses.
 pub const BODIES_BYTES: usize = 256 * 1024 * 1024;
-/// Bodies of responses on their way to clients, held in memory by one node, beside that.
-pub const RESPONSES_BYTES: usize = 256 * 1024 * 1024;
 /// Response body of a target, at most.
 pub const RESPONSE_BYTES: usize = 32 * 1024 * 1024;
 /// Asks at work in one node; beyond it they are shed at once.
--- a/crates/controller/src/forget.rs
+++ b/crates/controller/src/forget.rs
@@ -25,6 +25,7 @@
         if self.is_open() {
             return;
         }
+        let historyMs = self.historyMs;
         let Some(lead) = &mut self.lead else { return };
         if nowMs < lead.forgetDueMs {
             return;
@@ -56,7 +57,7 @@
         lead.historyMarks.push_back((nowMs, state.revision));
         let mut floor = state.historyFloor;
         while let Some((atMs, revision)) = lead.historyMarks.front().copied() {
-            if nowMs < atMs + HISTORY_KEEP_MS {
+            if nowMs < atMs + historyMs {
                 break;
             }
             floor = floor.max(revision);
--- a/crates/controller/src/lead.rs
+++ b/crates/controller/src/lead.rs
@@ -40,7 +40,7 @@
 }
 
 impl Lead {
-    pub fn new(term: u64, nowMs: u64) -> Self {
+    pub fn new(term: u64, nowMs: u64, listGapMs: u64) -> Self {
         Lead {
             term,
             ready: false,
@@ -53,7 +53,7 @@
             historyMarks: VecDeque::new(),
             nodes: BTreeMap::new(),
             samples: Samples::default(),
-            walk: Walk::new(nowMs),
+            walk: Walk::new(nowMs, listGapMs),
             heldRows: HeldRows::new(),
             slowList: false,
             parked: Vec::new(),
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -34,6 +34,8 @@
     self as consensus, Consensus, Effect as LogEffect, Member, Recovered, Role,
 };
 use postbarrow_constants::consensus::{LOG_BYTES, LOG_SPREAD};
+use postbarrow_constants::coordination::HISTORY_KEEP_MS;
+use postbarrow_constants::nodes::LIST_GAP_MS;
 use postbarrow_membership::{Deliver, Relay};
 use postbarrow_messages::{Envelope, ImageFrame, Message, Response};
 use postbarrow_state::State;
@@ -54,6 +56,8 @@
     logBytes: u64,
     logBoundBytes: u64,
     lastPulseMs: u64,
+    listGapMs: u64,
+    historyMs: u64,
     effects: Vec<Effect>,
 }
 
@@ -81,6 +85,8 @@
             logBytes,
             logBoundBytes: LOG_BYTES + own.id % LOG_SPREAD * (LOG_BYTES / LOG_SPREAD),
             lastPulseMs: nowMs,
+            listGapMs: LIST_GAP_MS,
+            historyMs: HISTORY_KEEP_MS,
             effects: Vec::new(),
         };
         if let Some(snapshot) = snapshot {
@@ -95,6 +101,15 @@
         self
     }
 
+    /// The list is asked no oftener, events are kept so long, and a slot is written after so many
+    /// bytes of log.
+    pub fn with_bounds(mut self, listGapMs: u64, historyMs: u64, logBytes: u64) -> Self {
+        self.listGapMs = listGapMs;
+        self.historyMs = historyMs;
+        self.logBoundBytes = logBytes + self.own.id % LOG_SPREAD * (logBytes / LOG_SPREAD);
+        self
+    }
+
     /// Snapshots after other than the usual bytes of log; for tests that must see many.
     pub fn with_log_bound(mut self, sizeBytes: u64) -> Self {
         self.logBoundBytes = sizeBytes;
@@ -192,7 +207,7 @@
         match role {
             Role::Leader => {
                 self.say(format!("leads term {}", self.consensus.term()));
-                self.lead = Some(Lead::new(self.consensus.term(), nowMs));
+                self.lead = Some(Lead::new(self.consensus.term(), nowMs, self.listGapMs));
             }
             _ => self.step_down(),
         }
--- a/crates/controller/src/pace.rs
+++ b/crates/controller/src/pace.rs
@@ -4,6 +4,8 @@
 /// How often pages may be asked for: learnt from a refusal, then kept below it.
 pub(crate) struct Pace {
     gapMs: u64,
+    /// The list's owner allows no smaller gap.
+    leastMs: u64,
     startMs: u64,
     askedMs: u64,
     changedMs: u64,
@@ -12,9 +14,10 @@
 }
 
 impl Pace {
-    pub fn new(nowMs: u64) -> Self {
+    pub fn new(nowMs: u64, leastMs: u64) -> Self {
         Pace {
-            gapMs: LIST_GAP_MS,
+            gapMs: leastMs,
+            leastMs,
             startMs: nowMs,
             askedMs: 0,
             changedMs: nowMs,
@@ -24,7 +27,7 @@
     }
 
     pub fn handed(nowMs: u64, gapMs: u64, askedMs: &[u64]) -> Self {
-        let mut pace = Pace::new(nowMs);
+        let mut pace = Pace::new(nowMs, LIST_GAP_MS);
         pace.gapMs = gapMs.clamp(LIST_GAP_MS, LIST_GAP_MOST_MS);
         pace.asked = askedMs.iter().map(|agoMs| nowMs.saturating_sub(*agoMs)).collect();
         pace.askedMs = pace.asked.back().copied().unwrap_or(0);
@@ -35,13 +38,18 @@
         self.asked.iter().map(|atMs| nowMs.saturating_sub(*atMs)).collect()
     }
 
+    pub fn least(&self) -> u64 {
+        self.leastMs
+    }
+
     pub fn gapMs(&self) -> u64 {
         self.gapMs
     }
 
     /// Who knows nothing yet is in a hurry, as long as the list never refused.
     pub fn permits(&self, nowMs: u64, hurry: bool) -> bool {
-        let hurryMs = if hurry && self.refusals == 0 { LIST_HURRY_MS } else { self.gapMs };
+        let quick = hurry && self.refusals == 0 && self.leastMs == LIST_GAP_MS;
+        let hurryMs = if quick { LIST_HURRY_MS } else { self.gapMs };
         nowMs >= self.askedMs + hurryMs && self.within(nowMs) < LIST_WINDOW_MS.div_ceil(self.gapMs)
     }
 
@@ -75,7 +83,7 @@
     pub fn relax(&mut self, nowMs: u64) {
         if nowMs >= self.changedMs + LIST_RELAX_MS {
             self.changedMs = nowMs;
-            self.gapMs = (self.gapMs * 9 / 10).max(LIST_GAP_MS);
+            self.gapMs = (self.gapMs * 9 / 10).max(self.leastMs);
         }
     }
 }
@@ -86,7 +94,7 @@
 
     /// A list that takes so many within a second, from whoever asks.
     fn refusals(perS: usize, seconds: u64) -> (u64, u64) {
-        let mut pace = Pace::new(0);
+        let mut pace = Pace::new(0, LIST_GAP_MS);
         let mut served: VecDeque<u64> = VecDeque::new();
         let (mut nowMs, mut pages) = (1_000, 0);
         while nowMs < 1_000 + seconds * 1_000 {
--- a/crates/controller/src/walk.rs
+++ b/crates/controller/src/walk.rs
@@ -54,7 +54,7 @@
 }
 
 impl Walk {
-    pub fn new(nowMs: u64) -> Self {
+    pub fn new(nowMs: u64, gapMs: u64) -> Self {
         Walk {
             number: 0,
             dueMs: nowMs,
@@ -66,7 +66,7 @@
             shrunk: false,
             guesses: true,
             failures: 0,
-            pace: Pace::new(nowMs),
+            pace: Pace::new(nowMs, gapMs),
             wholeMs: None,
             waitMs: LIST_PAGE_FIRST_WAIT_MS,
             cycleMs: 0,
@@ -89,7 +89,7 @@
     /// Goes on where the controller before left off.
     pub fn take(&mut self, handed: Handed) {
         let Handed { atMs, note } = handed;
-        self.pace = Pace::handed(atMs, note.gapMs, &note.askedMs);
+        self.pace = Pace::handed(atMs, note.gapMs.max(self.pace.least()), &note.askedMs);
         self.order = note.order;
         self.chain = note.chain;
         self.wholeMs = note.walkedMs.map(|walkedMs| atMs.saturating_sub(walkedMs));
--- a/crates/downstream/src/connection.rs
+++ b/crates/downstream/src/connection.rs
@@ -14,6 +14,20 @@
     client: IpAddr,
 }
 
+/// How much and how long a client may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    pub headBytes: usize,
+    pub headWaitMs: u64,
+    pub idleMs: u64,
+}
+
+impl Default for Patience {
+    fn default() -> Self {
+        Patience { headBytes: HEAD_BYTES, headWaitMs: HEAD_WAIT_MS, idleMs: DOWNSTREAM_IDLE_MS }
+    }
+}
+
 pub enum Next {
     Head(Head),
     Reject(Reject),
@@ -33,8 +47,8 @@
     }
 
     /// Waits for the next request; an idle connection ends when the node stops.
-    pub fn next(&mut self, stopping: impl Fn() -> bool) -> Next {
-        let idleUntilMs = now_ms() + DOWNSTREAM_IDLE_MS;
+    pub fn next(&mut self, patience: Patience, stopping: impl Fn() -> bool) -> Next {
+        let idleUntilMs = now_ms() + patience.idleMs;
         while self.buffered().is_empty() {
             if stopping() || now_ms() >= idleUntilMs {
                 return Next::Closed;
@@ -43,14 +57,17 @@
                 return Next::Closed;
             }
         }
-        let deadlineMs = now_ms() + HEAD_WAIT_MS;
+        let deadlineMs = now_ms() + patience.headWaitMs;
         loop {
             match head::parse(self.buffered()) {
+                Ok(Some((_, length))) if length > patience.headBytes => {
+                    return Next::Reject(Reject { status: 431, why: "the head is too large" });
+                }
                 Ok(Some((head, length))) => {
                     self.consume(length);
                     return Next::Head(head);
                 }
-                Ok(None) if self.buffered().len() > HEAD_BYTES => {
+                Ok(None) if self.buffered().len() > patience.headBytes => {
                     return Next::Reject(Reject { status: 431, why: "the head is too large" });
                 }
                 Ok(None) => match self.more(deadlineMs) {
--- a/crates/node/src/fresh.rs
+++ b/crates/node/src/fresh.rs
@@ -22,6 +22,9 @@
     dueMs: u64,
     grantedMs: u64,
     toldHoldMs: u64,
+    pub holdMs: u64,
+    /// Whether the log was told last that this node serves.
+    pub saidServes: bool,
 }
 
 impl FreshBook {
@@ -37,6 +40,8 @@
             dueMs: nowMs,
             grantedMs: 0,
             toldHoldMs: 0,
+            holdMs: NODE_HOLD_MS,
+            saidServes: false,
         }
     }
 
@@ -56,7 +61,7 @@
     /// Counted from when the question was sent, and only for an image up to its watermark.
     pub fn hold_until(&self, published: u64) -> u64 {
         let covered = self.grants.iter().rev().find(|grant| grant.watermark <= published);
-        covered.map_or(0, |grant| grant.sentMs + NODE_HOLD_MS)
+        covered.map_or(0, |grant| grant.sentMs + self.holdMs)
     }
 
     pub fn watermark(&self) -> u64 {
@@ -79,8 +84,9 @@
         }
         let seeks = self.fresh.controller.is_none();
         self.fresh.dueMs = nowMs + if seeks { FRESH_SEEK_MS } else { FRESH_MS };
-        self.fresh.sentMs.retain(|_, sentMs| nowMs < *sentMs + NODE_HOLD_MS);
-        self.fresh.grants.retain(|grant| nowMs < grant.sentMs + NODE_HOLD_MS);
+        let holdMs = self.fresh.holdMs;
+        self.fresh.sentMs.retain(|_, sentMs| nowMs < *sentMs + holdMs);
+        self.fresh.grants.retain(|grant| nowMs < grant.sentMs + holdMs);
         let to = match self.fresh.controller {
             Some(controller) => vec![controller],
             None => {
@@ -114,6 +120,20 @@
         }
     }
 
+    /// A sentence whenever this node begins or ceases to serve.
+    pub(crate) fn say_serves(&mut self, nowMs: u64) {
+        let serves = nowMs < self.hold_until() && self.tail.image().plan.is_some();
+        if serves == self.fresh.saidServes {
+            return;
+        }
+        self.fresh.saidServes = serves;
+        let version = self.tail.image().plan_version().unwrap_or_default().to_string();
+        self.effects.push(Effect::Say(match serves {
+            true => format!("serves, plan {version}"),
+            false => "sheds, no controller's word covers it".into(),
+        }));
+    }
+
     pub(crate) fn on_fresh(&mut self, nowMs: u64, from: SocketAddr, number: u64, fresh: Fresh) {
         match fresh {
             Fresh::Granted { term, watermark, members } => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -112,6 +112,12 @@
         }
     }
 
+    /// Serves so long after an answered question, instead of the usual time.
+    pub fn with_hold(mut self, holdMs: u64) -> Self {
+        self.fresh.holdMs = holdMs;
+        self
+    }
+
     pub fn handle(&mut self, nowMs: u64, input: Input) -> Vec<Effect> {
         match input {
             Input::Pulse => self.pulse(nowMs),
@@ -168,6 +174,7 @@
 
     fn pulse(&mut self, nowMs: u64) {
         self.fresh_pulse(nowMs);
+        self.say_serves(nowMs);
         self.tail_pulse(nowMs);
         self.ring_pulse(nowMs);
         let effects = self.desk.pulse(nowMs);
--- a/crates/plan/src/document.rs
+++ b/crates/plan/src/document.rs
@@ -3,7 +3,7 @@
 use postbarrow_constants::plans::*;
 use postbarrow_reading::{Fields, Findings, Reading, Value, text};
 use postbarrow_rules::Rule;
-use postbarrow_state::{Kind, Labels, Route, Service};
+use postbarrow_state::{Callers, Kind, Labels, Route, Service};
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Debug)]
@@ -12,6 +12,7 @@
     pub base: Option<String>,
     pub services: Vec<Service>,
     pub routes: Vec<Route>,
+    pub callers: Callers,
     pub text: String,
 }
 
@@ -67,9 +68,10 @@
         }
         routes.push(route);
     }
+    let callers = limits::callers(&mut fields, reading);
     fields.finish(reading);
     let services = services.into_values().collect();
-    Some(Plan { version: version?, base, services, routes, text: given.to_string() })
+    Some(Plan { version: version?, base, services, routes, callers, text: given.to_string() })
 }
 
 fn read_service(name: &str, place: &str, value: &Value, reading: &mut Reading) -> Option<Service> {
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -13,7 +13,7 @@
 
 use compact_str::CompactString;
 use postbarrow_constants::plans::TEXT_PART_BYTES;
-use postbarrow_state::Record;
+use postbarrow_state::{Callers, Record};
 
 /// A route with this method takes every method.
 pub const ANY_METHOD: &str = "*";
@@ -25,6 +25,9 @@
             version: CompactString::from(&self.version),
             base: self.base.as_deref().map(CompactString::from),
         }];
+        if self.callers != Callers::default() {
+            records.push(Record::Callers(self.callers.clone()));
+        }
         records.extend(self.services.iter().cloned().map(Record::Service));
         records.extend(self.routes.iter().cloned().map(Record::Route));
         let parts = self.text.as_bytes().chunks(TEXT_PART_BYTES);
--- a/crates/plan/src/limits.rs
+++ b/crates/plan/src/limits.rs
@@ -1,5 +1,6 @@
 use postbarrow_constants::plans::*;
 use postbarrow_reading::{Fields, Reading};
+use postbarrow_state::Callers;
 
 pub(crate) struct Limits {
     pub bodyBytes: u64,
@@ -29,3 +30,17 @@
     fields.finish(reading);
     limits
 }
+
+/// What every caller is held to, in `callers` of the plan.
+pub(crate) fn callers(plan: &mut Fields<'_>, reading: &mut Reading) -> Callers {
+    let place = plan.place("callers");
+    let Some(value) = plan.get("callers") else { return Callers::default() };
+    let Some(mut fields) = Fields::of(value, &place, reading) else { return Callers::default() };
+    let callers = Callers {
+        headBytes: fields.number("headBytes", 256..=HEAD_MOST_BYTES, reading),
+        headWaitMs: fields.number("headWaitMs", 1..=ROUTE_DEADLINE_MOST_MS, reading),
+        idleMs: fields.number("idleMs", 1..=IDLE_MOST_MS, reading),
+    };
+    fields.finish(reading);
+    callers
+}
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -6,17 +6,36 @@
 /// This node's share of the fleet's extra goes to one service, in thousandths of a per cent of a go.
 #[derive(Debug, Default)]
 pub struct Budget {
+    extra: Extra,
     saved: AtomicI64,
     refilledMs: AtomicU64,
 }
 
+/// Extra goes of the whole fleet to one service: per cent of its asks, a second beside, saved up.
+#[derive(Clone, Copy, Debug)]
+pub struct Extra {
+    pub percent: u64,
+    pub perS: u64,
+    pub saved: u64,
+}
+
+impl Default for Extra {
+    fn default() -> Self {
+        Extra { percent: EXTRA_GOES_PERCENT, perS: EXTRA_GOES_PER_S, saved: EXTRA_GOES_SAVED }
+    }
+}
+
 impl Budget {
+    pub fn new(extra: Extra) -> Budget {
+        Budget { extra, ..Budget::default() }
+    }
+
     pub fn on_ask(&self, nodes: u64) {
-        self.add((EXTRA_GOES_PERCENT as i64) * ONE_GO / 100, nodes);
+        self.add((self.extra.percent as i64) * ONE_GO / 100, nodes);
     }
 
     fn add(&self, amount: i64, nodes: u64) {
-        let most = (EXTRA_GOES_SAVED as i64 * ONE_GO / nodes.max(1) as i64).max(ONE_GO);
+        let most = (self.extra.saved as i64 * ONE_GO / nodes.max(1) as i64).max(ONE_GO);
         let _ = self.saved.fetch_update(Relaxed, Relaxed, |saved| Some((saved + amount).min(most)));
     }
 
@@ -28,7 +47,7 @@
         if (first || pastMs >= 100)
             && self.refilledMs.compare_exchange(sinceMs, nowMs, Relaxed, Relaxed).is_ok()
         {
-            let perMs = EXTRA_GOES_PER_S as i64 * ONE_GO / 1_000;
+            let perMs = self.extra.perS as i64 * ONE_GO / 1_000;
             let pastMs = if first { 1_000 } else { pastMs.min(60_000) };
             self.add(perMs * pastMs as i64 / nodes.max(1) as i64, nodes);
         }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,12 +1,13 @@
 //! From an ask to a target: match, limits, pick, and the budget of extra goes.
 
 mod budget;
+mod heads;
 mod limits;
 mod pick;
 mod rehearse;
 mod table;
 
-pub use budget::Budget;
+pub use budget::{Budget, Extra};
 pub use limits::{Limits, Refusal};
 pub use pick::{Load, Loads};
 pub use rehearse::{Recent, RouteTraffic, Traffic};
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -1,5 +1,6 @@
+use crate::heads::{header_names, host_of, in_order};
 use crate::pick::{Choice, Loads, carry, pick};
-use crate::{Budget, Limits, mix};
+use crate::{Budget, Extra, Limits, mix};
 use postbarrow_plan::{ANY_METHOD, Pattern, Segment};
 use postbarrow_rules::{Facts, Rule};
 use postbarrow_state::{Name, Route, State};
@@ -33,6 +34,7 @@
     loads: Loads,
     budgets: HashMap<Name, Arc<Budget>>,
     ruleHeaders: BTreeSet<String>,
+    extra: Extra,
 }
 
 pub enum Found {
@@ -52,9 +54,16 @@
             loads: Loads::new(),
             budgets: HashMap::new(),
             ruleHeaders: BTreeSet::new(),
+            extra: Extra::default(),
         }
     }
 
+    /// Per cent of asks, a second and saved up; tables made from this one keep it.
+    pub fn with_extra(mut self, (percent, perS, saved): (u64, u64, u64)) -> Self {
+        self.extra = Extra { percent, perS, saved };
+        self
+    }
+
     pub fn new(state: Arc<State>, offset: u64, old: &Table) -> Self {
         let loads = carry(&old.loads, &state);
         let mut targets = HashMap::new();
@@ -68,7 +77,8 @@
                 })
                 .collect();
             targets.insert(name.clone(), Arc::new(choices));
-            let budget = old.budgets.get(name).cloned().unwrap_or_default();
+            let budget = old.budgets.get(name).cloned();
+            let budget = budget.unwrap_or_else(|| Arc::new(Budget::new(old.extra)));
             budgets.insert(name.clone(), budget);
         }
         let kept: HashMap<*const Route, &Arc<Made>> =
@@ -112,7 +122,17 @@
         }
         let rules = state.routes.iter().filter_map(|route| route.when.as_deref());
         let ruleHeaders = rules.flat_map(header_names).collect();
-        Table { state, offset, entries, byFirst, anyFirst, loads, budgets, ruleHeaders }
+        Table {
+            state,
+            offset,
+            entries,
+            byFirst,
+            anyFirst,
+            loads,
+            budgets,
+            ruleHeaders,
+            extra: old.extra,
+        }
     }
 
     /// The most literal pattern wins; among equals, one with a rule that holds.
@@ -169,39 +189,6 @@
     }
 }
 
-/// Both lists rise; the entries' own order decides between them.
-fn in_order(named: &[usize], any: &[usize]) -> impl Iterator<Item = usize> {
-    let (mut named, mut any) = (named.iter().peekable(), any.iter().peekable());
-    std::iter::from_fn(move || match (named.peek(), any.peek()) {
-        (Some(one), Some(other)) if one > other => any.next().copied(),
-        (Some(_), _) => named.next().copied(),
-        (None, _) => any.next().copied(),
-    })
-}
-
-/// The host a request is for, without its port.
-fn host_of(headers: &[(String, String)]) -> &str {
-    let found = headers.iter().find(|(name, _)| name.eq_ignore_ascii_case("host"));
-    let host = found.map_or("", |(_, value)| value.as_str());
-    match host.rsplit_once(':') {
-        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
-        _ => host,
-    }
-}
-
-/// `headers['x']`, `'x' in headers` and `headers.x`.
-fn header_names(rule: &str) -> Vec<String> {
-    let parts: Vec<&str> = rule.split(['\'', '"']).collect();
-    let quoted = parts.windows(3).step_by(2).filter(|three| {
-        let asked = three[0].trim_end().ends_with('[') && three[0].contains("headers");
-        let looked = three[2].trim_start().starts_with("in ");
-        asked || looked
-    });
-    let ends = |c: char| !c.is_ascii_alphanumeric() && c != '_';
-    let fields = rule.split("headers.").skip(1).filter_map(|rest| rest.split(ends).next());
-    quoted.map(|three| three[1]).chain(fields).map(str::to_ascii_lowercase).collect()
-}
-
 impl Made {
     /// A route that does not compile here is left out; the plan was checked, so it does.
     fn new(route: &Arc<Route>) -> Result<Made, String> {
--- a/crates/startup/src/bounds.rs
+++ b/crates/startup/src/bounds.rs
@@ -1,3 +1,8 @@
+use postbarrow_constants::consensus::LOG_BYTES;
+use postbarrow_constants::coordination::HISTORY_KEEP_MS;
+use postbarrow_constants::nodes::{LIST_GAP_MS, NODE_HOLD_MS};
+use postbarrow_constants::traffic::*;
+
 /// Bounds that a deployment sets; what it leaves open is the product's own.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Bounds {
@@ -14,6 +19,91 @@
     pub extraWindowMs: u64,
     pub extraSlack: u64,
     pub memoryBytes: Option<u64>,
+    pub diskBytes: Option<u64>,
     /// Between two questions to the list.
     pub listGapMs: Option<u64>,
 }
+
+/// Of the nearer of both bounds, so much is the node's hold: the rest is for the way of the news.
+const HOLD_PERCENT: u64 = 60;
+/// Of the time to stop, so much is for being seen as unready, and so much in all.
+const UNREADY_PERCENT: u64 = 42;
+const STOP_PERCENT: u64 = 92;
+/// A quarter of a process's memory for bodies of requests, and one for those of responses.
+const BODIES_PART: u64 = 4;
+/// An eighth of a disk for the log between two slots: two slots and two logs fit beside each other.
+const LOG_PART: u64 = 8;
+
+impl Bounds {
+    /// How long a node serves on one answer of the controller.
+    pub fn hold_ms(&self) -> u64 {
+        let given = [self.drainMs, self.inForceMs].into_iter().filter(|ms| *ms > 0).min();
+        given.map_or(NODE_HOLD_MS, |ms| (ms * HOLD_PERCENT / 100).max(NODE_HOLD_MS))
+    }
+
+    /// How long a stopping node is unready before it closes its door, and when it ends at last.
+    pub fn stop_ms(&self) -> (u64, u64) {
+        match self.graceMs {
+            0 => (STOP_UNREADY_MS, STOP_UNREADY_MS + STOP_WAIT_MS),
+            graceMs => (graceMs * UNREADY_PERCENT / 100, graceMs * STOP_PERCENT / 100),
+        }
+    }
+
+    /// Extra goes of the fleet: per cent of asks, a second, and saved up.
+    pub fn extra(&self) -> (u64, u64, u64) {
+        if self.extraWindowMs == 0 {
+            return (EXTRA_GOES_PERCENT, EXTRA_GOES_PER_S, EXTRA_GOES_SAVED);
+        }
+        let perS = self.extraSlack * 1_000 / self.extraWindowMs / 2;
+        (self.extraPercent, perS, self.extraSlack / 4)
+    }
+
+    pub fn bodies_bytes(&self) -> u64 {
+        let part = self.memoryBytes.map(|bytes| bytes / BODIES_PART);
+        part.map_or(BODIES_BYTES as u64, |part| part.min(BODIES_BYTES as u64))
+    }
+
+    pub fn log_bytes(&self) -> u64 {
+        self.diskBytes.map_or(LOG_BYTES, |bytes| (bytes / LOG_PART).min(LOG_BYTES))
+    }
+
+    pub fn history_ms(&self) -> u64 {
+        HISTORY_KEEP_MS.max(self.historyMs * 5 / 4)
+    }
+
+    pub fn list_gap_ms(&self) -> u64 {
+        self.listGapMs.map_or(LIST_GAP_MS, |gapMs| gapMs.max(LIST_GAP_MS))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_a_deployment_leaves_open_is_the_products_own() {
+        let own = Bounds::default();
+        assert_eq!(own.hold_ms(), NODE_HOLD_MS);
+        assert_eq!(own.stop_ms(), (STOP_UNREADY_MS, STOP_UNREADY_MS + STOP_WAIT_MS));
+        assert_eq!(own.extra(), (EXTRA_GOES_PERCENT, EXTRA_GOES_PER_S, EXTRA_GOES_SAVED));
+        assert_eq!((own.bodies_bytes(), own.log_bytes()), (BODIES_BYTES as u64, LOG_BYTES));
+    }
+
+    #[test]
+    fn holds_and_stops_stay_within_what_a_deployment_allows() {
+        for (drainMs, inForceMs, graceMs) in [(2_500, 2_000, 6_000), (2_000, 2_000, 3_000)] {
+            let bounds = Bounds { drainMs, inForceMs, graceMs, ..Bounds::default() };
+            assert!(bounds.hold_ms() * 3 <= drainMs.min(inForceMs) * 2, "{}", bounds.hold_ms());
+            let (unreadyMs, endMs) = bounds.stop_ms();
+            assert!(unreadyMs * 2 < endMs && endMs + 200 <= graceMs, "{unreadyMs} {endMs}");
+        }
+        let bounds =
+            Bounds { extraPercent: 20, extraWindowMs: 10_000, extraSlack: 68, ..Bounds::default() };
+        let (percent, perS, saved) = bounds.extra();
+        assert_eq!(percent, 20);
+        assert!(perS * 10 + saved <= 68, "{perS} a second, {saved} saved");
+        let small =
+            Bounds { memoryBytes: Some(64 << 20), diskBytes: Some(64 << 20), ..Bounds::default() };
+        assert_eq!((small.bodies_bytes(), small.log_bytes()), (16 << 20, 8 << 20));
+    }
+}
--- a/crates/state/src/apply.rs
+++ b/crates/state/src/apply.rs
@@ -9,6 +9,7 @@
             Record::PlanStart { version, base } => {
                 let head = PlanHead { version: version.clone(), base: base.clone(), offset };
                 self.plan = Some(Arc::new(head));
+                self.callers = Callers::default();
                 self.planText.clear();
                 self.services.clear();
                 self.routes.clear();
@@ -74,6 +75,7 @@
                 }
                 self.historyFloor = self.historyFloor.max(*floor);
             }
+            Record::Callers(callers) => self.callers = callers.clone(),
             Record::Era { by } => self.era += by,
             Record::Lock { name, holder, fence, ttlMs } => {
                 let lock = Lock { holder: holder.clone(), fence: *fence, ttlMs: *ttlMs };
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -43,6 +43,8 @@
     /// Remembered calls, oldest first, by the era of their result.
     #[serde(default)]
     pub repeatQueue: Vector<(u64, Name)>,
+    #[serde(default)]
+    pub callers: Callers,
 }
 
 impl State {
@@ -58,6 +60,7 @@
             routes: self.routes.clone(),
             targets: self.targets.clone(),
             nodes: self.nodes.clone(),
+            callers: self.callers.clone(),
             ..State::default()
         }
     }
--- a/crates/state/src/records.rs
+++ b/crates/state/src/records.rs
@@ -55,6 +55,14 @@
     pub precedence: u64,
 }
 
+/// Bounds of requests; what a plan leaves open is the node's own.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Callers {
+    pub headBytes: Option<u64>,
+    pub headWaitMs: Option<u64>,
+    pub idleMs: Option<u64>,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Share {
     pub service: Name,
@@ -187,6 +195,8 @@
     HistoryTrimmed {
         floor: u64,
     },
+    /// What every caller is held to under this plan.
+    Callers(Callers),
     /// The log's own time goes on: so long, by its controllers' clocks, that none counted twice.
     Era {
         by: u64,
@@ -199,6 +209,7 @@
         matches!(
             self,
             Record::PlanStart { .. }
+                | Record::Callers(_)
                 | Record::Service(_)
                 | Record::Route(_)
                 | Record::Target(_)
--- a/programs/control-plane/src/lib.rs
+++ b/programs/control-plane/src/lib.rs
@@ -67,6 +67,8 @@
             commands.clone(),
         )?;
         let mut node = ControlNode::new(own, recovered, &startup.seeds, random(), now_ms());
+        let bounds = &startup.bounds;
+        node = node.with_bounds(bounds.list_gap_ms(), bounds.history_ms(), bounds.log_bytes());
         if !startup.first {
             node = node.with_known_log();
         }
--- a/programs/data-plane/src/downstream/serve.rs
+++ b/programs/data-plane/src/downstream/serve.rs
@@ -4,7 +4,7 @@
 use crate::{ask, calls};
 use postbarrow_constants::traffic::*;
 use postbarrow_downstream::body;
-use postbarrow_downstream::connection::{Connection, Next};
+use postbarrow_downstream::connection::{Connection, Next, Patience};
 use postbarrow_downstream::head::{Head, Length, Reject};
 use postbarrow_downstream::memory::Reserved;
 use postbarrow_node::{About, TargetResponse, Told, Verdict};
@@ -17,7 +17,7 @@
 /// Serves one client connection until either side ends it.
 pub fn serve(mut connection: Connection, shared: &Arc<Shared>) {
     loop {
-        let head = match connection.next(|| shared.closed.load(Relaxed)) {
+        let head = match connection.next(patience(shared), || shared.closed.load(Relaxed)) {
             Next::Head(head) => head,
             Next::Closed => return,
             Next::Reject(reject) => {
@@ -43,6 +43,17 @@
     }
 }
 
+/// What the plan in force asks of callers, or else the node.
+fn patience(shared: &Shared) -> Patience {
+    let table = shared.table.load();
+    let (callers, own) = (&table.state.callers, Patience::default());
+    Patience {
+        headBytes: callers.headBytes.map_or(own.headBytes, |bytes| bytes as usize),
+        headWaitMs: callers.headWaitMs.unwrap_or(own.headWaitMs),
+        idleMs: callers.idleMs.unwrap_or(own.idleMs),
+    }
+}
+
 /// This go never ran; whether an earlier one under its key did, nobody here can say.
 fn refuse(connection: &mut Connection, shared: &Shared, reject: Reject, unsure: bool) {
     if reject.status != 0 {
--- a/programs/data-plane/src/lib.rs
+++ b/programs/data-plane/src/lib.rs
@@ -22,7 +22,6 @@
 
 use crate::core::{Command, Core};
 use log::info;
-use postbarrow_constants::traffic::{STOP_UNREADY_MS, STOP_WAIT_MS};
 use postbarrow_node::DataNode;
 use postbarrow_startup::Startup;
 use postbarrow_state::{Name, Node};
@@ -39,6 +38,7 @@
 /// A running data-plane node.
 pub struct DataPlane {
     shared: Arc<Shared>,
+    stopMs: (u64, u64),
 }
 
 impl DataPlane {
@@ -59,8 +59,9 @@
         };
         info!("node: {} is {:016x}, zone {}", own.name, own.incarnation, own.zone);
         let (commands, queue) = channel();
-        let shared = Arc::new(Shared::new(own.clone(), dialect, commands));
-        let node = DataNode::new(own, startup.seeds.clone(), now_ms());
+        let shared = Arc::new(Shared::new(own.clone(), dialect, &startup.bounds, commands));
+        let holdMs = startup.bounds.hold_ms();
+        let node = DataNode::new(own, startup.seeds.clone(), now_ms()).with_hold(holdMs);
         let core = Core::new(node, shared.clone());
         thread::Builder::new().name("node".into()).spawn(move || core.run(queue))?;
         let hand = shared.clone();
@@ -76,7 +77,7 @@
             downstream::listen(TcpListener::bind(condition)?, shared.clone())?;
         }
         downstream::listen(http, shared.clone())?;
-        Ok(DataPlane { shared })
+        Ok(DataPlane { shared, stopMs: startup.bounds.stop_ms() })
     }
 
     /// Other addresses that may lead to the control plane.
@@ -97,10 +98,11 @@
         info!("node: stops");
         self.shared.stopping.store(true, SeqCst);
         self.shared.command(Command::Stop);
-        thread::sleep(Duration::from_millis(STOP_UNREADY_MS));
+        let (unreadyMs, endMs) = self.stopMs;
+        let untilMs = now_ms() + endMs;
+        thread::sleep(Duration::from_millis(unreadyMs));
         self.shared.closed.store(true, SeqCst);
         let _woken = TcpStream::connect(self.shared.own.http);
-        let untilMs = now_ms() + STOP_WAIT_MS;
         while self.shared.downstreams.load(SeqCst) > 0 && now_ms() < untilMs {
             thread::sleep(Duration::from_millis(20));
         }
--- a/programs/data-plane/src/share.rs
+++ b/programs/data-plane/src/share.rs
@@ -6,10 +6,10 @@
 use arc_swap::ArcSwap;
 use crossbeam_queue::ArrayQueue;
 use postbarrow_constants::plans::{SAMPLE_BYTES, SAMPLES_TOLD, SAMPLES_WAITING};
-use postbarrow_constants::traffic::{BODIES_BYTES, RESPONSES_BYTES};
 use postbarrow_downstream::memory::Memory;
 use postbarrow_messages::{Ask, Response};
 use postbarrow_routing::Table;
+use postbarrow_startup::Bounds;
 use postbarrow_state::{Name, Node, Sample};
 use postbarrow_transport::{now_ms, random};
 use sha2::{Digest as _, Sha256};
@@ -46,17 +46,23 @@
 }
 
 impl Shared {
-    pub fn new(own: Node, dialect: Arc<dyn Dialect>, commands: Sender<Command>) -> Self {
+    pub fn new(
+        own: Node,
+        dialect: Arc<dyn Dialect>,
+        bounds: &Bounds,
+        commands: Sender<Command>,
+    ) -> Self {
+        let bodies = bounds.bodies_bytes();
         Shared {
             own,
             dialect,
-            table: ArcSwap::from_pointee(Table::empty()),
+            table: ArcSwap::from_pointee(Table::empty().with_extra(bounds.extra())),
             pools: ArcSwap::from_pointee(Pools::default()),
             holdUntilMs: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             closed: AtomicBool::new(false),
-            memory: Memory::new(BODIES_BYTES as u64),
-            responses: Memory::new(RESPONSES_BYTES as u64),
+            memory: Memory::new(bodies),
+            responses: Memory::new(bodies),
             samples: ArrayQueue::new(SAMPLES_WAITING),
             seen: AtomicU64::new(0),
             clients: Clients::default(),
--- a/programs/data-plane/src/tests/crowds.rs
+++ b/programs/data-plane/src/tests/crowds.rs
@@ -53,13 +53,36 @@
 #[test]
 fn a_response_beyond_the_nodes_memory_is_given_up_and_its_memory_comes_back() {
     let (found, rig) = rig();
-    let all = rig.shared.responses.reserve(RESPONSES_BYTES as u64).expect("all of it");
+    let all = rig.shared.responses.reserve(BODIES_BYTES as u64).expect("all of it");
     let told = rig.get("/look/1");
     assert!(told.starts_with("HTTP/1.1 502"), "{told}");
     let posted = rig.post("", "a");
     assert!(posted.contains("Postbarrow-Outcome: unknown"), "it ran: {posted}");
     drop(all);
     assert!(rig.get("/look/1").starts_with("HTTP/1.1 200"));
-    assert!(rig.shared.responses.reserve(RESPONSES_BYTES as u64).is_some(), "all is free again");
+    assert!(rig.shared.responses.reserve(BODIES_BYTES as u64).is_some(), "all is free again");
     assert!(found.runs() >= 3);
 }
+
+#[test]
+fn a_plan_bounds_heads_and_idle_times_of_callers() {
+    let found = ScriptedTarget::start("s-1", "s", vec![Script::Whole("x")]);
+    let rig = Rig::new(vec![target("s-1", "s", found.address)], yes);
+    let state = rig.shared.table.load().state.as_ref().clone();
+    let callers =
+        postbarrow_state::Callers { headBytes: Some(300), headWaitMs: Some(50), idleMs: Some(1) };
+    let state = postbarrow_state::State { callers, ..state };
+    let table = postbarrow_routing::Table::new(state.into(), 2, &rig.shared.table.load());
+    rig.shared.table.store(table.into());
+    let long = format!("GET /look/1 HTTP/1.1\r\nHost: h\r\nX: {}\r\n\r\n", "a".repeat(400));
+    assert!(rig.raw(long.as_bytes()).starts_with("HTTP/1.1 431"));
+    let mut idle = std::net::TcpStream::connect(rig.http).unwrap();
+    let mut told = String::new();
+    std::io::Read::read_to_string(&mut idle, &mut told).unwrap();
+    assert_eq!(told, "", "an idle connection is closed without a word");
+    let mut slow = std::net::TcpStream::connect(rig.http).unwrap();
+    std::io::Write::write_all(&mut slow, b"GET /look/1").unwrap();
+    let _ = std::io::Read::read_to_string(&mut slow, &mut told);
+    assert!(told.is_empty() || told.starts_with("HTTP/1.1 408"), "{told}");
+    assert_eq!(found.runs(), 0);
+}
--- a/programs/data-plane/src/tests/rig.rs
+++ b/programs/data-plane/src/tests/rig.rs
@@ -5,6 +5,7 @@
 use postbarrow_constants::traffic::PROOF_PATH;
 use postbarrow_messages::{Ask, Response};
 use postbarrow_routing::Table;
+use postbarrow_startup::Bounds;
 use postbarrow_state::*;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -148,7 +149,7 @@
         let http = listener.local_addr().unwrap();
         let own = Node { incarnation: 7, name: "n".into(), address: http, http, zone: "a".into() };
         let (commands, queue) = channel();
-        let shared = Arc::new(Shared::new(own, Arc::new(crate::Own), commands));
+        let shared = Arc::new(Shared::new(own, Arc::new(crate::Own), &Bounds::default(), commands));
         let asked = Arc::new(Mutex::new(Vec::new()));
         let told = asked.clone();
         thread::spawn(move || {
