Open a link anew when its bytes are not acknowledged for 400 ms

Cause: nodes that lived through the loss of the core's machines served 0.35 to 0.5 s later than those beside the new controller: their links to the returned machines still waited for their own repeats. TCP_USER_TIMEOUT on links.

--- a/crates/constants/src/traffic.rs
+++ b/crates/constants/src/traffic.rs
@@ -101,3 +101,5 @@
 pub const CHANCE_SLOTS: f64 = 0.1;
 /// A cold target counts as so many times as full.
 pub const COLD_TIMES: f64 = 2.0;
+/// A link whose bytes are not acknowledged for so long is opened anew: its machine may be back.
+pub const LINK_UNHEARD_MS: u64 = 400;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -4,8 +4,10 @@
 mod link;
 mod listen;
 mod slab;
+mod unheard;
 
 pub use clock::{now_ms, random};
 pub use link::Links;
 pub use listen::listen;
 pub use slab::Slab;
+pub use unheard::give_up_unheard;
--- /dev/null
+++ b/crates/transport/src/unheard.rs
@@ -0,0 +1,41 @@
+use std::io;
+use std::net::TcpStream;
+use std::os::fd::AsRawFd;
+
+/// From now on the connection ends once what was sent is not acknowledged for so long; 0 is the
+/// system's own patience. Without it bytes to a machine that lost its power vanish for minutes.
+///
+/// # Errors
+/// The socket takes no such option.
+pub fn give_up_unheard(stream: &TcpStream, waitMs: u64) -> io::Result<()> {
+    let wait = libc::c_uint::try_from(waitMs).unwrap_or(libc::c_uint::MAX);
+    let size = size_of::<libc::c_uint>() as libc::socklen_t;
+    let place = std::ptr::from_ref(&wait).cast();
+    let done = unsafe {
+        let (level, option) = (libc::IPPROTO_TCP, libc::TCP_USER_TIMEOUT);
+        libc::setsockopt(stream.as_raw_fd(), level, option, place, size)
+    };
+    if done == 0 { Ok(()) } else { Err(io::Error::last_os_error()) }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::TcpListener;
+
+    #[test]
+    fn the_system_takes_the_patience_and_gives_it_back() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        for waitMs in [400, 0] {
+            give_up_unheard(&stream, waitMs).unwrap();
+            let mut wait: libc::c_uint = 7;
+            let mut size = size_of::<libc::c_uint>() as libc::socklen_t;
+            let place = std::ptr::from_mut(&mut wait).cast();
+            let (level, option) = (libc::IPPROTO_TCP, libc::TCP_USER_TIMEOUT);
+            let done =
+                unsafe { libc::getsockopt(stream.as_raw_fd(), level, option, place, &mut size) };
+            assert_eq!((done, u64::from(wait)), (0, waitMs));
+        }
+    }
+}
