Leave a machine that hears nothing sooner; pass over targets that fail again for longer

Cause: a repeatable ask sent to a dark machine waited for its deadline, and a lost target was tried again by every node each second. Bytes of repeatable asks unheard for 300 ms end their connection (one-time asks wait: only the target's word proves 'not run'); the pause of a failing target doubles from 1 to 8 s; one that is full pauses 200 ms and counts as well. Test: routing/tests/slots.rs.

--- a/crates/constants/src/traffic.rs
+++ b/crates/constants/src/traffic.rs
@@ -103,3 +103,9 @@
 pub const COLD_TIMES: f64 = 2.0;
 /// A link whose bytes are not acknowledged for so long is opened anew: its machine may be back.
 pub const LINK_UNHEARD_MS: u64 = 400;
+/// A repeatable ask whose bytes its target's machine does not acknowledge for so long goes elsewhere.
+pub const TARGET_UNHEARD_MS: u64 = 300;
+/// A target that fails again is passed over twice as long, up to this.
+pub const FAILED_PAUSE_MOST_MS: u64 = 8_000;
+/// A target that turned an ask away is passed over this long while others have room.
+pub const TURNED_AWAY_PAUSE_MS: u64 = 200;
--- a/crates/node/src/course.rs
+++ b/crates/node/src/course.rs
@@ -199,7 +199,9 @@
                 Step::Done { verdict: self.verdict(Told::Whole(response)), settle }
             }
             Passed::NotRun(why) => {
-                self.load_failed(now);
+                if let Some(load) = &self.load {
+                    load.turned_away(now.nowMs);
+                }
                 self.why = why;
                 self.extra_go(now)
             }
--- a/crates/routing/src/pick.rs
+++ b/crates/routing/src/pick.rs
@@ -13,6 +13,8 @@
     reported: AtomicU64,
     reportedMs: AtomicU64,
     failedUntilMs: AtomicU64,
+    /// Failures in a row.
+    failures: AtomicU64,
 }
 
 impl Load {
@@ -43,9 +45,17 @@
         usual + (self.reported.load(Relaxed) as f64 - usual) * (-age).exp()
     }
     pub fn failed(&self, nowMs: u64) {
-        self.failedUntilMs.store(nowMs + FAILED_PAUSE_MS, Relaxed);
+        let before = self.failures.fetch_add(1, Relaxed).min(16);
+        let pauseMs = (FAILED_PAUSE_MS << before).min(FAILED_PAUSE_MOST_MS);
+        self.failedUntilMs.store(nowMs + pauseMs, Relaxed);
+    }
+    /// It is full, not ill.
+    pub fn turned_away(&self, nowMs: u64) {
+        let untilMs = nowMs + TURNED_AWAY_PAUSE_MS;
+        self.failedUntilMs.fetch_max(untilMs, Relaxed);
     }
     pub fn recovered(&self) {
+        self.failures.store(0, Relaxed);
         self.failedUntilMs.store(0, Relaxed);
     }
     fn occupancy(&self) -> u64 {
--- a/crates/routing/tests/slots.rs
+++ b/crates/routing/tests/slots.rs
@@ -86,6 +86,24 @@
     assert_eq!(chosen(&table, 1_000).get("far"), Some(&100), "room goes before nearness");
 }
 
+#[test]
+fn a_target_that_fails_again_and_again_is_passed_over_longer() {
+    let table = table(&[("ill", "a", 2, false), ("well", "a", 2, false)]);
+    let ill = load(&table, "ill");
+    ill.failed(1_000);
+    assert_eq!(chosen(&table, 1_900), BTreeMap::from([("well".into(), 100)]));
+    assert!(chosen(&table, 2_100)["ill"] > 20, "tried again after a while");
+    ill.failed(2_100);
+    assert_eq!(chosen(&table, 4_000), BTreeMap::from([("well".into(), 100)]));
+    ill.recovered();
+    ill.turned_away(4_000);
+    assert_eq!(chosen(&table, 4_100), BTreeMap::from([("well".into(), 100)]));
+    assert!(chosen(&table, 4_300)["ill"] > 20, "full is not ill");
+    load(&table, "well").failed(4_300);
+    ill.failed(4_300);
+    assert!(chosen(&table, 4_400).len() == 2, "somebody must be asked");
+}
+
 #[test]
 fn a_route_is_found_by_its_host_and_its_longest_prefix() {
     let table = table(&[("one", "a", 2, false)]);
--- a/programs/data-plane/src/ask.rs
+++ b/programs/data-plane/src/ask.rs
@@ -56,6 +56,7 @@
         upstream: None,
         target: None,
         entered: None,
+        repeatable: !oneTime,
         memory: None,
     };
     let mut event = Event::Start;
@@ -96,6 +97,7 @@
     upstream: Option<Upstream>,
     target: Option<Arc<Target>>,
     entered: Option<Entered>,
+    repeatable: bool,
     memory: Option<Reserved>,
 }
 
@@ -137,7 +139,9 @@
         let (passed, back) = match (upstream, dialect.named()) {
             (Upstream::Straight(straight), Some(named)) => {
                 let (head, body) = (self.head, &self.body[..]);
-                let sent = Sent { head, headers: &headers, body, waitMs, gate };
+                let headers = &headers;
+                let repeatable = self.repeatable;
+                let sent = Sent { head, headers, body, waitMs, repeatable, gate };
                 let (passed, back) = straight.pass(sent, named, &mut memory);
                 (passed, back.map(Upstream::Straight))
             }
--- a/programs/data-plane/src/straight.rs
+++ b/programs/data-plane/src/straight.rs
@@ -4,7 +4,7 @@
 use postbarrow_downstream::head::Head;
 use postbarrow_downstream::memory::Reserved;
 use postbarrow_node::{Passed, TargetResponse};
-use postbarrow_transport::now_ms;
+use postbarrow_transport::{give_up_unheard, now_ms};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::os::fd::AsRawFd;
@@ -17,6 +17,7 @@
     buffer: Vec<u8>,
     start: usize,
     waitMs: u64,
+    unheardMs: u64,
     first: bool,
     usedMs: u64,
     keepMs: u64,
@@ -27,6 +28,8 @@
     pub headers: &'a [(String, String)],
     pub body: &'a [u8],
     pub waitMs: u64,
+    /// Another target may be asked instead, so a machine that hears nothing is left soon.
+    pub repeatable: bool,
     pub gate: Gate,
 }
 
@@ -46,7 +49,16 @@
         let stream = open().map_err(|error: std::io::Error| format!("connect: {error}"))?;
         let (buffer, usedMs) = (Vec::new(), now_ms());
         let keepMs = TARGET_IDLE_MS;
-        Ok(Straight { stream, buffer, start: 0, waitMs: 0, first: true, usedMs, keepMs })
+        Ok(Straight {
+            stream,
+            buffer,
+            start: 0,
+            waitMs: 0,
+            unheardMs: 0,
+            first: true,
+            usedMs,
+            keepMs,
+        })
     }
 
     /// Nothing came on it since it was given back, and the target has not closed it.
@@ -81,6 +93,11 @@
             return (Passed::Unsent("no longer allowed".into()), None);
         }
         out.extend_from_slice(sent.body);
+        let unheardMs = if sent.repeatable { TARGET_UNHEARD_MS } else { 0 };
+        if unheardMs != self.unheardMs {
+            let _ = give_up_unheard(&self.stream, unheardMs);
+            self.unheardMs = unheardMs;
+        }
         if let Err((bytes, why)) = self.write(&out, untilMs) {
             let passed = match bytes {
                 0 => Passed::Unsent(why),
