Begin a log with as many founders as the seeds name; grow voters with the losses to bear

And two losses at once need five voters. The seeds of a first start are the founders, one to three; all others join as learners, of which so many become voters as 2 x losses + 1 needs. Without named founders any three empty disks form it, as before. New tool scale-run: the real protocol parts of a whole deployment in one process, on a simulated network, with bytes, messages and processor time counted; its tests form logs of 1, 2, 4, 6 and 8 control nodes (without this commit 2, 4, 6 and 8 fail).

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -14,6 +14,7 @@
 pub use progress::Progress;
 pub use types::*;
 
+use postbarrow_constants::consensus::VOTERS;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
@@ -53,6 +54,8 @@
     /// The present candidacy follows a round in which nobody led.
     clear: bool,
     random: u64,
+    /// Voters that the log grows to while learners stand ready.
+    voters: usize,
     effects: Vec<Effect>,
 }
 
@@ -90,12 +93,18 @@
             freed: false,
             clear: false,
             random: seed | 1,
+            voters: VOTERS,
             effects: Vec::new(),
         };
         made.set_election(nowMs);
         made
     }
 
+    /// As many voters as a majority needs after so many losses at once.
+    pub fn set_losses(&mut self, losses: usize) {
+        self.voters = VOTERS.max(2 * losses + 1);
+    }
+
     pub fn handle(&mut self, nowMs: u64, input: Input) -> Vec<Effect> {
         match input {
             Input::Pulse => self.pulse(nowMs),
--- a/crates/consensus/src/members.rs
+++ b/crates/consensus/src/members.rs
@@ -40,7 +40,7 @@
         }
         let mut members = self.log.members().to_vec();
         let Some(learner) = self.caught_up(nowMs) else { return };
-        if members.len() < VOTERS {
+        if members.len() < self.voters {
             members.push(learner);
         } else {
             let silentMs = |member: &Member| match self.progress.get(&member.id) {
--- a/crates/controller/src/greet.rs
+++ b/crates/controller/src/greet.rs
@@ -18,6 +18,8 @@
     addresses: BTreeSet<SocketAddr>,
     fresh: BTreeMap<MemberId, Heard>,
     pub(crate) formed: bool,
+    /// Where those stand that begin the log together; none: any three empty disks may.
+    pub(crate) founders: Option<BTreeSet<SocketAddr>>,
     dueMs: u64,
     leaderMs: u64,
 }
@@ -25,7 +27,15 @@
 impl Book {
     pub fn new(seeds: &[SocketAddr], own: SocketAddr) -> Self {
         let addresses = seeds.iter().copied().filter(|seed| *seed != own).collect();
-        Book { own, addresses, fresh: BTreeMap::new(), formed: false, dueMs: 0, leaderMs: 0 }
+        Book {
+            own,
+            addresses,
+            fresh: BTreeMap::new(),
+            formed: false,
+            founders: None,
+            dueMs: 0,
+            leaderMs: 0,
+        }
     }
 
     pub fn meet(&mut self, seeds: &[SocketAddr]) {
@@ -69,18 +79,34 @@
         }
     }
 
-    /// The lowest of three empty disks begins the log, once all three named the same three
-    /// and nobody reached knows of a log already.
+    /// The lowest of the founders begins the log, once all of them named each other and nobody
+    /// reached knows of a log already. Without founders, any three empty disks that named the same
+    /// three are.
     fn try_form(&mut self, nowMs: u64, knows: BTreeSet<MemberId>) {
-        let agreed = self.book.fresh.values().all(|heard| heard.knows == knows);
-        let first = knows.first() == Some(&self.own.id);
-        if self.book.formed || knows.len() != VOTERS || !agreed || !first {
+        let heard = self.book.fresh.values();
+        let (ids, wanted): (BTreeSet<MemberId>, usize) = match &self.book.founders {
+            None => (knows, VOTERS),
+            Some(founders) if !founders.contains(&self.own.address) => return,
+            Some(founders) => {
+                let there = heard.clone().filter(|one| founders.contains(&one.member.address));
+                let ids = there.map(|one| one.member.id).chain([self.own.id]);
+                (ids.collect(), founders.len())
+            }
+        };
+        let mut others = heard.filter(|one| ids.contains(&one.member.id));
+        let agreed = match self.book.founders {
+            None => others.all(|one| one.knows == ids),
+            Some(_) => others.all(|one| one.knows.is_superset(&ids)),
+        };
+        let first = ids.first() == Some(&self.own.id);
+        if self.book.formed || ids.len() != wanted || !agreed || !first {
             return;
         }
-        let mut members: Vec<Member> = self.book.fresh.values().map(|heard| heard.member).collect();
+        let heard = self.book.fresh.values().map(|heard| heard.member);
+        let mut members: Vec<Member> = heard.filter(|one| ids.contains(&one.id)).collect();
         members.push(self.own);
         members.sort_unstable();
-        self.say("begins a new log with two others".into());
+        self.say(format!("begins a new log of {} members", ids.len()));
         self.log(nowMs, consensus::Input::Form(members.clone()));
         let own = self.own;
         for member in members.iter().filter(|member| **member != own) {
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -95,6 +95,18 @@
         node
     }
 
+    /// These begin the log together, be they one, two or three; all others join it.
+    pub fn with_founders(mut self, founders: &[SocketAddr]) -> Self {
+        self.book.founders = Some(founders.iter().copied().collect());
+        self
+    }
+
+    /// So many members may be lost at once.
+    pub fn with_losses(mut self, losses: usize) -> Self {
+        self.consensus.set_losses(losses);
+        self
+    }
+
     /// A log is known to exist: an empty disk joins it, and begins none.
     pub fn with_known_log(mut self) -> Self {
         self.book.formed = true;
--- a/crates/startup/src/bounds.rs
+++ b/crates/startup/src/bounds.rs
@@ -18,6 +18,8 @@
     pub extraPercent: u64,
     pub extraWindowMs: u64,
     pub extraSlack: u64,
+    /// Disk machines that may be lost at once.
+    pub losses: usize,
     pub memoryBytes: Option<u64>,
     pub diskBytes: Option<u64>,
     /// Between two questions to the list.
--- a/crates/startup/src/place.rs
+++ b/crates/startup/src/place.rs
@@ -26,6 +26,8 @@
     pub data: Option<PathBuf>,
     /// No log is known to exist yet, so empty disks may begin one.
     pub first: bool,
+    /// Control nodes that begin the log together; none: any three with empty disks.
+    pub founders: Option<Vec<SocketAddr>>,
     pub list: Option<String>,
     pub log: Option<PathBuf>,
     pub level: log::LevelFilter,
@@ -183,6 +185,7 @@
         seeds,
         data: given.data.map(PathBuf::from),
         first: true,
+        founders: None,
         list: given.list,
         log: given.log.map(PathBuf::from),
         level,
--- a/programs/control-plane/src/lib.rs
+++ b/programs/control-plane/src/lib.rs
@@ -69,6 +69,10 @@
         let mut node = ControlNode::new(own, recovered, &startup.seeds, random(), now_ms());
         let bounds = &startup.bounds;
         node = node.with_bounds(bounds.list_gap_ms(), bounds.history_ms(), bounds.log_bytes());
+        node = node.with_losses(bounds.losses);
+        if let Some(founders) = &startup.founders {
+            node = node.with_founders(founders);
+        }
         if !startup.first {
             node = node.with_known_log();
         }
--- /dev/null
+++ b/tools/scale-run/src/runs.rs
@@ -0,0 +1,233 @@
+use crate::Cli;
+use crate::world::{self, Body, World};
+use postbarrow_messages::{Ask, Submission};
+use postbarrow_state::{Kind, Labels, Name, Record, Route, Service};
+
+fn submission(version: u64, routes: usize, services: usize) -> Submission {
+    let name = |version: u64| Name::from(format!("v{version}"));
+    let base = (version > 1).then(|| name(version - 1));
+    let mut records = vec![Record::PlanStart { version: name(version), base: base.clone() }];
+    for at in 0..services {
+        let service = Name::from(format!("service-{at}"));
+        let labels = Labels::from([("service".into(), service.clone())]);
+        records.push(Record::Service(Service { name: service, labels }));
+    }
+    for at in 0..routes {
+        records.push(Record::Route(Route {
+            path: Name::from(format!("/path{at:05}/*")),
+            methods: vec!["*".into()],
+            kind: Kind::Lookup,
+            service: Name::from(format!("service-{}", at % services)),
+            when: None,
+            bodyBytes: 1_000_000,
+            ratePerS: None,
+            concurrency: None,
+            deadlineMs: 1_500 + version,
+            host: Some(Name::from(format!("host{at:05}.example"))),
+            shares: Vec::new(),
+            tries: Some(2),
+            goalMs: Some(600),
+            precedence: 1,
+        }));
+    }
+    let text = vec![b'x'; routes * 250];
+    records.extend(text.chunks(16_384).map(|part| Record::PlanText(part.to_vec())));
+    Submission { version: name(version), base, records, dryRun: false, allowEmpty: true }
+}
+
+/// Hands a plan over; milliseconds to the yes, and to each node's image.
+fn change(world: &mut World, version: u64, routes: usize, services: usize) -> (u64, Vec<u64>) {
+    let startUs = world.nowUs;
+    world.answers.clear();
+    if let Some(leader) = world.leader() {
+        world.ask(leader, version, Ask::Submit(submission(version, routes, services)));
+    }
+    let wanted = Some(Name::from(format!("v{version}")));
+    for _ in 0..500 {
+        world.run_until(world.nowUs + 10_000);
+        if world
+            .versions()
+            .get(&wanted)
+            .is_some_and(|count| *count == world.processes.len() - world.control)
+        {
+            break;
+        }
+    }
+    let data = &world.processes[world.control..];
+    let mut times: Vec<u64> = data
+        .iter()
+        .filter(|process| process.version == wanted)
+        .map(|process| process.publishedUs.saturating_sub(startUs) / 1_000)
+        .collect();
+    times.sort_unstable();
+    let yesMs = world.answers.first().map_or(u64::MAX, |(atUs, _)| (atUs - startUs) / 1_000);
+    (yesMs, times)
+}
+
+/// Until every node that is up may serve again: milliseconds, and the longest time below nine tenths.
+fn recover(world: &mut World) -> Option<u64> {
+    let startUs = world.nowUs;
+    let mut shed = false;
+    let mut wellUs = None;
+    while world.nowUs < startUs + 20_000_000 {
+        world.run_until(world.nowUs + 10_000);
+        let (up, serving) = world.serving();
+        match up == serving {
+            true if shed || world.nowUs > startUs + 3_000_000 => {
+                wellUs.get_or_insert(if shed { world.nowUs - startUs } else { 0 });
+                if world.nowUs > startUs + 3_000_000 {
+                    return wellUs.map(|wellUs| wellUs / 1_000);
+                }
+            }
+            true => {}
+            false => {
+                shed = true;
+                wellUs = None;
+            }
+        }
+    }
+    None
+}
+
+fn told(name: &str, recovered: Option<u64>) -> Option<u64> {
+    match recovered {
+        Some(ms) => println!("recovery,{name},{ms}"),
+        None => println!("recovery,{name},not within 20000"),
+    }
+    recovered
+}
+
+/// What one size showed, beside what it printed.
+#[derive(Debug, Default)]
+pub struct Measured {
+    /// Of a data node at rest, both ways.
+    pub nodeBytesPerS: f64,
+    pub changedNodes: usize,
+    pub slowestMs: u64,
+    pub recoveredMs: Vec<Option<u64>>,
+}
+
+pub fn one(cli: &Cli, nodes: usize, targets: usize, routes: usize) -> Measured {
+    let mut measured = Measured::default();
+    println!("size,{nodes} nodes,{targets} targets,{routes} routes");
+    let mut world = World::new(cli, nodes, targets);
+    world.run_until(5_000_000);
+    let (yesMs, times) = change(&mut world, 1, routes, cli.services);
+    println!("first plan,yes ms {yesMs},nodes {}", times.len());
+    world.run_until(world.nowUs + 4_000_000);
+    world.clear();
+    let fromUs = world.nowUs;
+    world.run_until(fromUs + cli.seconds * 1_000_000);
+    let leader = world.leader();
+    let rate = |sum: u64, count: usize| sum as f64 / cli.seconds as f64 / count.max(1) as f64;
+    println!("role,count,sent/s,bytes out/s,got/s,bytes in/s,work % of a core");
+    let control = 0..world.control;
+    let roles: [(&str, Vec<usize>); 4] = [
+        ("controller", leader.into_iter().collect()),
+        ("voter", control.clone().filter(|at| Some(*at) != leader).collect()),
+        ("data node", (world.control..world.processes.len()).collect()),
+        ("busiest data node", busiest(&world)),
+    ];
+    for (role, members) in roles {
+        let sum = |of: fn(&world::Counts) -> u64| -> f64 {
+            let all = members.iter().map(|at| of(&world.processes[*at].counts)).sum();
+            rate(all, members.len())
+        };
+        if role == "data node" {
+            measured.nodeBytesPerS = sum(|counts| counts.sentBytes) + sum(|counts| counts.gotBytes);
+        }
+        println!(
+            "{role},{},{:.1},{:.0},{:.1},{:.0},{:.3}",
+            members.len(),
+            sum(|counts| counts.sent),
+            sum(|counts| counts.sentBytes),
+            sum(|counts| counts.got),
+            sum(|counts| counts.gotBytes),
+            sum(|counts| counts.workNs) / 1e7,
+        );
+    }
+    world.clear();
+    let (yesMs, times) = change(&mut world, 2, routes, cli.services);
+    measured.changedNodes = times.len();
+    measured.slowestMs = times.last().copied().unwrap_or(0);
+    let at = |part: usize| times.get(times.len() * part / 100).or(times.last()).copied();
+    println!(
+        "change,yes ms {yesMs},p50 {:?},p99 {:?},max {:?},nodes {}",
+        at(50),
+        at(99),
+        times.last(),
+        times.len()
+    );
+    let data: Vec<usize> = (world.control..world.processes.len()).collect();
+    let bytes = |world: &World, at: usize| {
+        world.processes[at].counts.sentBytes + world.processes[at].counts.gotBytes
+    };
+    let all: u64 = data.iter().map(|at| bytes(&world, *at)).sum();
+    let most = data.iter().map(|at| bytes(&world, *at)).max().unwrap_or(0);
+    println!("change bytes,a data node {},busiest {most}", all / data.len().max(1) as u64);
+    for (name, part) in [("a tenth restarted", 10), ("a rack of eight lost", 0)] {
+        let some: Vec<usize> = match part {
+            0 => data.iter().copied().take(8).collect(),
+            part => data.iter().copied().step_by(part).collect(),
+        };
+        some.iter().for_each(|at| world.end(*at));
+        if part > 0 {
+            some.iter().for_each(|at| world.start(*at));
+        }
+        measured.recoveredMs.push(told(name, recover(&mut world)));
+        some.iter().filter(|_| part == 0).for_each(|at| world.start(*at));
+        world.run_until(world.nowUs + 3_000_000);
+    }
+    if cli.zones > 2 {
+        world.cut = Some(cli.zones.div_ceil(2));
+        world.run_until(world.nowUs + 5_000_000);
+        let (up, serving) = world.serving();
+        println!("parted,{serving} of {up} nodes serve");
+        world.cut = None;
+        measured.recoveredMs.push(told("parted halves joined", recover(&mut world)));
+    }
+    if let Some(leader) = world.leader() {
+        world.end(leader);
+        measured.recoveredMs.push(told("controller lost", recover(&mut world)));
+    }
+    measured
+}
+
+fn busiest(world: &World) -> Vec<usize> {
+    let data = world.control..world.processes.len();
+    let most = data.max_by_key(|at| world.processes[*at].counts.sentBytes);
+    most.into_iter().filter(|at| !matches!(world.processes[*at].body, Body::Down)).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use gumdrop::Options;
+
+    #[test]
+    fn one_two_three_or_more_control_nodes_begin_one_log_and_grow_to_the_voters_needed() {
+        for (control, losses, voters) in [(1, 0, 1), (2, 1, 2), (4, 1, 3), (6, 2, 5), (8, 2, 5)] {
+            let (control, losses) = (control.to_string(), losses.to_string());
+            let words = ["--control", &control, "--losses", &losses];
+            let cli = Cli::parse_args_default(&words).unwrap();
+            let mut world = World::new(&cli, 4, 10);
+            world.run_until(8_000_000);
+            assert_eq!(world.serving(), (4, 4), "{control} control nodes");
+            let leader = world.leader().expect("one leads");
+            let Body::Control(node) = &world.processes[leader].body else { panic!("no control") };
+            assert_eq!(node.consensus().members().len(), voters, "of {control}");
+        }
+    }
+
+    #[test]
+    fn a_small_size_stays_within_what_a_node_may_spend_and_recovers() {
+        let cli = Cli::parse_args_default(&["--seconds", "2"]).unwrap();
+        let measured = one(&cli, 20, 60, 30);
+        assert!(measured.nodeBytesPerS < 5_000.0, "{measured:?}");
+        assert_eq!(measured.changedNodes, 20, "{measured:?}");
+        assert!(measured.slowestMs < 2_000, "{measured:?}");
+        assert_eq!(measured.recoveredMs.len(), 4, "{measured:?}");
+        let recovered = |ms: &Option<u64>| ms.is_some_and(|ms| ms < 5_000);
+        assert!(measured.recoveredMs.iter().all(recovered), "{measured:?}");
+    }
+}
