Let a learner stand by for a second before a voter leaves for it

A voter was cut off one way, another lost its disk and came back empty elsewhere; the learner was caught up within the 300 ms in which the lost one still counted as heard, so the living one was voted out and the new set had no majority: no service for ever. A learner must have been followed for 1 s, beyond 'heard lately', before a voter leaves for it; one that only joins need not. Test: consensus/tests/members.rs; without the second it does not end.

--- a/crates/consensus/src/members.rs
+++ b/crates/consensus/src/members.rs
@@ -33,7 +33,8 @@
     /// One step at a time: once a caught-up learner stands ready, the voter silent longest leaves;
     /// then the learner joins. In this order no step needs more than the two that live: a learner
     /// that dies meanwhile can't be missed by a majority of four. And no step is taken that would
-    /// leave the log without a majority of those heard lately.
+    /// leave the log without a majority of those heard lately: not before the learner has been here
+    /// for longer than 'lately', for it may stand where one of the others stood a moment ago.
     pub(crate) fn change_members(&mut self, nowMs: u64) {
         if !self.is_ready() || self.log.config_index() > self.commit {
             return;
@@ -50,6 +51,10 @@
             let others = members.iter().filter(|member| member.id != self.id);
             let silentest = others.max_by_key(|member| silentMs(member)).copied();
             let Some(dead) = silentest.filter(|one| silentMs(one) >= VOTER_DEAD_MS) else { return };
+            let sinceMs = self.progress.get(&learner.id).map_or(nowMs, |known| known.sinceMs);
+            if nowMs < sinceMs + LEARNER_SETTLE_MS {
+                return;
+            }
             members.retain(|member| member.id != dead.id);
         }
         let live = members.iter().filter(|one| one.id == self.id || self.is_heard(nowMs, one.id));
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -9,6 +9,8 @@
     /// Leader's send time of the newest frame this follower answered.
     pub echoMs: u64,
     pub heardMs: u64,
+    /// Since when this one is followed.
+    pub sinceMs: u64,
     pub sending: Option<Sending>,
 }
 
@@ -21,6 +23,14 @@
 
 impl Progress {
     pub fn new(member: Member, next: u64, nowMs: u64) -> Self {
-        Progress { member, matched: 0, next, echoMs: 0, heardMs: nowMs, sending: None }
+        Progress {
+            member,
+            matched: 0,
+            next,
+            echoMs: 0,
+            heardMs: nowMs,
+            sinceMs: nowMs,
+            sending: None,
+        }
     }
 }
--- /dev/null
+++ b/crates/consensus/tests/members.rs
@@ -0,0 +1,106 @@
+use postbarrow_consensus::*;
+use postbarrow_constants::consensus::*;
+use std::sync::Arc;
+
+fn member(id: u64) -> Member {
+    Member { id, address: format!("10.0.0.{id}:1").parse().unwrap() }
+}
+
+/// A leader of three whose second member has long been silent, and whose third answers.
+struct Bench {
+    node: Consensus,
+    nowMs: u64,
+}
+
+impl Bench {
+    fn new() -> Bench {
+        let members = (1..=3).map(member).collect();
+        let snapshot = Snapshot { index: 0, term: 0, members, state: Vec::new() };
+        let recovered = Recovered { snapshot: Some(Arc::new(snapshot)), ..Recovered::default() };
+        let mut bench = Bench { node: Consensus::new(1, recovered, 7, 10_000), nowMs: 10_000 };
+        while bench.node.role() != Role::Leader {
+            bench.pass(&[3]);
+            assert!(bench.nowMs < 20_000, "it never led");
+        }
+        let untilMs = bench.nowMs + VOTER_DEAD_MS + 500;
+        while bench.nowMs < untilMs {
+            bench.pass(&[3]);
+        }
+        bench
+    }
+
+    /// One pulse, in which these answer everything they are sent and all is synced.
+    fn pass(&mut self, answering: &[u64]) {
+        self.nowMs += 20;
+        let mut effects: Vec<Effect> = self.node.handle(self.nowMs, Input::Pulse);
+        while !effects.is_empty() {
+            let mut inputs = Vec::new();
+            for effect in effects {
+                match effect {
+                    Effect::Write { sequence, .. } => inputs.push(Input::Synced(sequence)),
+                    Effect::Send { to, message } if answering.contains(&to.id) => {
+                        let said = answer(message);
+                        inputs.extend(said.map(|message| Input::Receive { from: to, message }));
+                    }
+                    _ => {}
+                }
+            }
+            effects =
+                inputs.into_iter().flat_map(|one| self.node.handle(self.nowMs, one)).collect();
+        }
+    }
+
+    fn ids(&self) -> Vec<u64> {
+        self.node.members().iter().map(|member| member.id).collect()
+    }
+}
+
+fn answer(message: Message) -> Option<Message> {
+    match message {
+        Message::PreVote(ask) => Some(Message::PreVoteResponse { term: ask.term, granted: true }),
+        Message::Vote(ask) => Some(Message::VoteResponse { term: ask.term, granted: true }),
+        Message::Append(append) => Some(Message::AppendResponse(AppendResponse {
+            term: append.term,
+            matched: Some(append.prev + append.entries.len() as u64),
+            hint: 0,
+            sentMs: append.sentMs,
+        })),
+        Message::Snapshot(part) => Some(Message::SnapshotResponse(SnapshotResponse {
+            term: part.term,
+            index: part.index,
+            received: part.total,
+            done: true,
+            sentMs: part.sentMs,
+        })),
+        _ => None,
+    }
+}
+
+#[test]
+fn nobody_leaves_for_a_learner_that_came_as_another_member_fell_silent() {
+    let mut bench = Bench::new();
+    bench.node.handle(bench.nowMs, Input::Learner(member(9)));
+    for _ in 0..400 {
+        bench.pass(&[9]);
+    }
+    assert_eq!(bench.ids(), [1, 2, 3], "the second may only be cut off; the third is what is lost");
+    bench.pass(&[2, 9]);
+    for _ in 0..400 {
+        bench.pass(&[2, 9]);
+    }
+    let mut ids = bench.ids();
+    ids.sort_unstable();
+    assert_eq!(ids, [1, 2, 9], "once the second is heard again the third makes place");
+}
+
+#[test]
+fn a_learner_that_stands_by_takes_the_place_of_the_silent() {
+    let mut bench = Bench::new();
+    bench.node.handle(bench.nowMs, Input::Learner(member(9)));
+    for _ in 0..200 {
+        bench.pass(&[3, 9]);
+    }
+    let mut ids = bench.ids();
+    ids.sort_unstable();
+    assert_eq!(ids, [1, 3, 9]);
+}
--- a/crates/constants/src/consensus.rs
+++ b/crates/constants/src/consensus.rs
@@ -40,3 +40,6 @@
 pub const HEARD_KEEP_MS: u64 = 10 * GREET_MS;
 /// A voter that just started asks the others at this pace whether any of them leads.
 pub const WHO_MS: u64 = 60;
+/// A learner stands by so long before a voter leaves for it: whose place it took is known silent by
+/// then, for 'heard lately' is four heartbeats.
+pub const LEARNER_SETTLE_MS: u64 = 1_000;
