Ask the list at the rate that its owner tells

The platform tells its rate: the gap is that with a margin of 30 %, for two controllers may overlap; without a told rate it is learnt as before. An heir keeps it. Tests: pace.rs, bounds.rs.

--- a/crates/controller/src/pace.rs
+++ b/crates/controller/src/pace.rs
@@ -26,9 +26,9 @@
         }
     }
 
-    pub fn handed(nowMs: u64, gapMs: u64, askedMs: &[u64]) -> Self {
-        let mut pace = Pace::new(nowMs, LIST_GAP_MS);
-        pace.gapMs = gapMs.clamp(LIST_GAP_MS, LIST_GAP_MOST_MS);
+    pub fn handed(nowMs: u64, leastMs: u64, gapMs: u64, askedMs: &[u64]) -> Self {
+        let mut pace = Pace::new(nowMs, leastMs);
+        pace.gapMs = gapMs.clamp(leastMs, LIST_GAP_MOST_MS.max(leastMs));
         pace.asked = askedMs.iter().map(|agoMs| nowMs.saturating_sub(*agoMs)).collect();
         pace.askedMs = pace.asked.back().copied().unwrap_or(0);
         pace
@@ -115,6 +115,24 @@
         (pace.refusals, pages)
     }
 
+    #[test]
+    fn a_rate_that_is_told_is_used_and_never_run_into() {
+        let mut pace = Pace::new(0, 26);
+        let mut asked: VecDeque<u64> = VecDeque::new();
+        let mut most = 0;
+        for nowMs in 1_000..11_000 {
+            if pace.permits(nowMs, nowMs < 2_000) {
+                pace.asked(nowMs);
+                asked.push_back(nowMs);
+            }
+            asked.retain(|atMs| nowMs < atMs + 1_000);
+            most = most.max(asked.len());
+        }
+        assert!((35..=40).contains(&most), "{most} of 52 a second");
+        let heir = Pace::handed(11_000, 26, 26, &[]);
+        assert_eq!((heir.gapMs(), heir.least()), (26, 26), "an heir keeps it");
+    }
+
     #[test]
     fn a_rate_limit_is_learnt_once_and_not_run_into_again() {
         for perS in [1, 2, 3, 5, 8, 20] {
--- a/crates/controller/src/walk.rs
+++ b/crates/controller/src/walk.rs
@@ -89,7 +89,7 @@
     /// Goes on where the controller before left off.
     pub fn take(&mut self, handed: Handed) {
         let Handed { atMs, note } = handed;
-        self.pace = Pace::handed(atMs, note.gapMs.max(self.pace.least()), &note.askedMs);
+        self.pace = Pace::handed(atMs, self.pace.least(), note.gapMs, &note.askedMs);
         self.order = note.order;
         self.chain = note.chain;
         self.wholeMs = note.walkedMs.map(|walkedMs| atMs.saturating_sub(walkedMs));
--- a/crates/startup/src/bounds.rs
+++ b/crates/startup/src/bounds.rs
@@ -1,6 +1,6 @@
 use postbarrow_constants::consensus::LOG_BYTES;
 use postbarrow_constants::coordination::HISTORY_KEEP_MS;
-use postbarrow_constants::nodes::{LIST_GAP_MS, NODE_HOLD_MS};
+use postbarrow_constants::nodes::{LIST_GAP_MS, LIST_HURRY_MS, NODE_HOLD_MS};
 use postbarrow_constants::traffic::*;
 
 /// Bounds that a deployment sets; what it leaves open is the product's own.
@@ -36,6 +36,9 @@
 /// An eighth of a disk for the log between two slots: two slots and two logs fit beside each other.
 const LOG_PART: u64 = 8;
 
+/// The list is asked with gaps longer by this than its rate permits: two controllers may overlap.
+const LIST_PART: u64 = 130;
+
 impl Bounds {
     /// How long a node serves on one answer of the controller.
     pub fn hold_ms(&self) -> u64 {
@@ -74,7 +77,7 @@
     }
 
     pub fn list_gap_ms(&self) -> u64 {
-        self.listGapMs.map_or(LIST_GAP_MS, |gapMs| gapMs.max(LIST_GAP_MS))
+        self.listGapMs.map_or(LIST_GAP_MS, |gapMs| (gapMs * LIST_PART / 100).max(LIST_HURRY_MS))
     }
 }
 
@@ -104,6 +107,10 @@
         let (percent, perS, saved) = bounds.extra();
         assert_eq!(percent, 20);
         assert!(perS * 10 + saved <= 68, "{perS} a second, {saved} saved");
+        let quick = Bounds { listGapMs: Some(20), ..Bounds::default() };
+        assert_eq!(quick.list_gap_ms(), 26, "the list's own rate, with a margin");
+        let slow = Bounds { listGapMs: Some(500), ..Bounds::default() };
+        assert_eq!(slow.list_gap_ms(), 650);
         let small =
             Bounds { memoryBytes: Some(64 << 20), diskBytes: Some(64 << 20), ..Bounds::default() };
         assert_eq!((small.bodies_bytes(), small.log_bytes()), (16 << 20, 8 << 20));
