--- a/tools/fleet-runner/src/main.rs
+++ b/tools/fleet-runner/src/main.rs
@@ -91,6 +91,10 @@
     if cli.seconds == 0 || cli.scale == 0 {
         findings.push("--seconds and --scale: at least 1".into());
     }
+    if cli.faults == "all" && cli.variables.is_empty() {
+        let file = "tools/fleet-runner/tests/clock.variables";
+        findings.push(format!("--faults all: clocks jump too, which needs --variables {file}"));
+    }
     let schedule = schedule::schedule(cli);
     if let Err(error) = &schedule {
         findings.push(format!("--faults {error}"));
