Begin the handover with the wish to stop, not after the operators' requests

Ruled out: dropping open requests at once, for an order that was read must get its answer; a longer wait, for the grace is the users'.

Change: one Stop command; both waits run beside each other (Stopping), and the process goes on passing requests to the heir until they are answered.

--- a/programs/control-plane/src/asker.rs
+++ b/programs/control-plane/src/asker.rs
@@ -43,8 +43,9 @@
         AtWork(self.open.clone())
     }
 
-    pub fn open(&self) -> usize {
-        self.open.load(SeqCst)
+    /// How many requests are at work here; it is shared, and goes on counting.
+    pub(crate) fn open_requests(&self) -> Arc<AtomicUsize> {
+        self.open.clone()
     }
 
     pub(crate) fn stop(&self) {
--- a/programs/control-plane/src/core.rs
+++ b/programs/control-plane/src/core.rs
@@ -1,12 +1,15 @@
 use crate::disk::Writes;
+use crate::stopping::Stopping;
 use log::{info, warn};
-use postbarrow_constants::consensus::{HAND_OVER_MS, TICK_MS};
+use postbarrow_constants::consensus::TICK_MS;
 use postbarrow_controller::{Contact, ControlNode, Effect, Input, PageResult, Snap};
 use postbarrow_desk::{Desk, Effect as DeskEffect};
 use postbarrow_messages::{Ask, Envelope, Message, Response};
 use postbarrow_transport::{Links, Slab, clock_ms, random};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, SyncSender};
 use std::thread;
 use std::time::Duration;
@@ -16,10 +19,18 @@
     Synced(u64),
     DiskFailed(String),
     Page(PageResult),
-    Encoded { index: u64, state: Vec<u8> },
-    Ask { ask: Ask, wait_ms: u64, reply: SyncSender<Response> },
+    Encoded {
+        index: u64,
+        state: Vec<u8>,
+    },
+    Ask {
+        ask: Ask,
+        wait_ms: u64,
+        reply: SyncSender<Response>,
+    },
     Seeds(Vec<SocketAddr>),
-    End(Sender<()>),
+    /// Hand over, give up the seat, and tell when this process may end.
+    Stop(Sender<()>),
 }
 
 pub struct Fetch {
@@ -38,7 +49,9 @@
     fetches: Sender<Fetch>,
     commands: Sender<Command>,
     local: VecDeque<Envelope>,
-    ending: Option<(u64, Sender<()>)>,
+    /// Requests at this process's door that have no answer yet.
+    open_requests: Arc<AtomicUsize>,
+    stopping: Option<(Stopping, Sender<()>)>,
 }
 
 impl Core {
@@ -48,10 +61,23 @@
         writes: Writes,
         fetches: Sender<Fetch>,
         commands: Sender<Command>,
+        open_requests: Arc<AtomicUsize>,
     ) -> Self {
         let links = Links::new(own);
         let (desk, asks, local) = (Desk::default(), Slab::new(random()), VecDeque::new());
-        Core { node, own, links, desk, asks, writes, fetches, commands, local, ending: None }
+        Core {
+            node,
+            own,
+            links,
+            desk,
+            asks,
+            writes,
+            fetches,
+            commands,
+            local,
+            open_requests,
+            stopping: None,
+        }
     }
 
     pub fn run(mut self, queue: Receiver<Command>) {
@@ -113,18 +139,21 @@
                 self.carry_out(effects);
             }
             Command::Seeds(seeds) => self.handle(now_ms, Input::Seeds(seeds)),
-            Command::End(done) => {
-                self.ending = Some((now_ms + HAND_OVER_MS, done));
+            Command::Stop(done) => {
+                self.stopping = Some((Stopping::new(now_ms), done));
                 self.handle(now_ms, Input::Stop);
             }
         }
     }
 
-    /// Another leads, or nobody could in time.
+    /// Whom to tell that this process may end, once it may.
     fn ended(&mut self, now_ms: u64) -> Option<Sender<()>> {
-        let (until_ms, _) = self.ending.as_ref()?;
-        let over = now_ms >= *until_ms || self.node.has_handed_over();
-        if over { self.ending.take().map(|(_, done)| done) } else { None }
+        let (stopping, _) = self.stopping.as_mut()?;
+        let open_requests = self.open_requests.load(SeqCst);
+        if !stopping.may_end(now_ms, open_requests, self.node.has_handed_over()) {
+            return None;
+        }
+        self.stopping.take().map(|(_, done)| done)
     }
 
     fn receive(&mut self, envelope: Envelope) {
--- a/programs/control-plane/src/lib.rs
+++ b/programs/control-plane/src/lib.rs
@@ -9,12 +9,13 @@
 mod opening;
 mod operator;
 mod rehearse;
+mod stopping;
 
 use crate::core::{Command, Core};
 use log::info;
 use postbarrow_consensus::Member;
-use postbarrow_constants::consensus::{HAND_OVER_MS, TICK_MS};
-use postbarrow_constants::coordination::{ANSWER_WRITE_MS, SUBMIT_WAIT_MS};
+use postbarrow_constants::consensus::HAND_OVER_MS;
+use postbarrow_constants::coordination::SUBMIT_WAIT_MS;
 use postbarrow_controller::ControlNode;
 use postbarrow_startup::Startup;
 use postbarrow_transport::listen;
@@ -22,6 +23,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering::SeqCst;
 use std::sync::mpsc::{Sender, channel};
 use std::thread;
 use std::time::Duration;
@@ -31,6 +33,7 @@
 
 pub struct ControlPlane {
     commands: Sender<Command>,
+    address: SocketAddr,
     http: SocketAddr,
     asker: Asker,
 }
@@ -69,13 +72,14 @@
         if !startup.first {
             node = node.with_known_log();
         }
-        let core = Core::new(node, own.address, writes, fetches, commands.clone());
+        let asker = Asker::new(commands.clone());
+        let open_requests = asker.open_requests();
+        let core = Core::new(node, own.address, writes, fetches, commands.clone(), open_requests);
         thread::Builder::new().name("control".into()).spawn(move || core.run(queue))?;
         let hand = commands.clone();
         listen(links, move |envelope| hand.send(Command::Envelope(envelope)).is_ok())?;
-        let asker = Asker::new(commands.clone());
         let http = dialect.open(startup.http, asker.clone())?;
-        Ok(ControlPlane { commands, http, asker })
+        Ok(ControlPlane { commands, address, http, asker })
     }
 
     /// Other addresses that may lead to the other members.
@@ -83,22 +87,28 @@
         let _ = self.commands.send(Command::Seeds(seeds));
     }
 
+    /// Where other postbarrow processes reach this one.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Where operators reach this one.
     pub fn http(&self) -> SocketAddr {
         self.http
     }
 
+    /// Requests at its door that have no answer yet.
+    pub fn open_requests(&self) -> usize {
+        self.asker.open_requests().load(SeqCst)
+    }
+
     /// Operators get their answers, another controller leads, a learner that stands ready has this
-    /// one's seat, the disk's queue is done: then it ends.
+    /// one's seat, the disk's queue is done: then it ends. All of it begins at once.
     pub fn stop(&self) {
-        let until_ms = clock_ms() + SUBMIT_WAIT_MS;
         self.asker.stop();
-        while self.asker.open() > 0 && clock_ms() < until_ms {
-            thread::sleep(Duration::from_millis(TICK_MS));
-        }
-        thread::sleep(Duration::from_millis(ANSWER_WRITE_MS));
         let (done, ended) = channel();
-        if self.commands.send(Command::End(done)).is_ok() {
-            let _ = ended.recv_timeout(Duration::from_millis(2 * HAND_OVER_MS));
+        if self.commands.send(Command::Stop(done)).is_ok() {
+            let _ = ended.recv_timeout(Duration::from_millis(SUBMIT_WAIT_MS + HAND_OVER_MS));
         }
         info!("control: ends");
     }
--- /dev/null
+++ b/programs/control-plane/tests/stop.rs
@@ -0,0 +1,113 @@
+//! A planned stop of a controller in a cluster of real control planes.
+
+use postbarrow_control_plane::ControlPlane;
+use postbarrow_startup::{Bounds, Startup};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::Duration;
+
+/// Long past anything that the cluster needs; reached only if it hangs.
+const TRIES: usize = 2_000;
+const PAUSE: Duration = Duration::from_millis(10);
+/// Beyond this the server hands a request on before its body is whole.
+const PADDING_BYTES: usize = 4_096;
+
+fn start(name: &str, folder: &Path, seeds: Vec<SocketAddr>) -> ControlPlane {
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    let startup = Startup {
+        name: name.into(),
+        zone: "a".into(),
+        address: any,
+        bind: None,
+        http: any,
+        condition: None,
+        seeds,
+        data: Some(folder.join(name)),
+        first: true,
+        guest: false,
+        founders: None,
+        list: None,
+        log: None,
+        level: log::LevelFilter::Off,
+        bounds: Bounds::default(),
+    };
+    ControlPlane::start(&startup).expect("it starts")
+}
+
+fn empty_folder(name: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+/// Status and body of one request, on a connection of its own.
+fn ask(address: SocketAddr, request: &[u8]) -> Option<(u16, String)> {
+    let mut connection = TcpStream::connect(address).ok()?;
+    connection.write_all(request).ok()?;
+    read_answer(&mut connection)
+}
+
+fn read_answer(connection: &mut TcpStream) -> Option<(u16, String)> {
+    let mut text = String::new();
+    connection.read_to_string(&mut text).ok()?;
+    let status = text.split(' ').nth(1)?.parse().ok()?;
+    Some((status, text))
+}
+
+/// The controller that this member tells of.
+fn controller(member: &ControlPlane) -> Option<String> {
+    let request = b"GET /status HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    let (status, text) = ask(member.http(), request)?;
+    let (_, after) = text.split_once("\"controller\":\"")?;
+    let (name, _) = after.split_once('"')?;
+    (status == 200).then(|| name.to_string())
+}
+
+fn is_named(member: &ControlPlane, name: &str) -> bool {
+    member.address().to_string() == name
+}
+
+fn wait_for<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let found = (0..TRIES).find_map(|_| {
+        look().or_else(|| {
+            thread::sleep(PAUSE);
+            None
+        })
+    });
+    found.unwrap_or_else(|| panic!("{what}"))
+}
+
+#[test]
+fn a_stopping_controller_hands_over_while_an_operator_still_sends_its_order() {
+    let folder = empty_folder("stop");
+    let first = start("one", &folder, Vec::new());
+    let seeds = vec![first.address()];
+    let mut members = vec![first];
+    members.push(start("two", &folder, seeds.clone()));
+    members.push(start("three", &folder, seeds));
+    let old = wait_for("nobody leads", || controller(&members[0]));
+    let leaver =
+        members.iter().position(|member| is_named(member, &old)).expect("one of the three");
+    let leaver = members.remove(leaver);
+
+    let plan = "{\"version\":\"v1\",\"base\":null,\"services\":{},\"routes\":[]}";
+    let body = format!("{plan}{}", " ".repeat(PADDING_BYTES));
+    let (begin, rest) = body.split_at(10);
+    let mut order = TcpStream::connect(leaver.http()).expect("it listens");
+    let head = "POST /plans HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length:";
+    write!(order, "{head} {}\r\n\r\n{begin}", body.len()).expect("it reads");
+    wait_for("the order is not at work", || (leaver.open_requests() > 0).then_some(()));
+
+    let stopped = thread::spawn(move || leaver.stop());
+    let heir = wait_for("nobody leads in its place", || {
+        controller(&members[0]).filter(|name| *name != old)
+    });
+    assert!(members.iter().any(|member| is_named(member, &heir)), "{heir}");
+    order.write_all(rest.as_bytes()).expect("it still reads");
+    let (status, text) = read_answer(&mut order).expect("a whole answer");
+    assert_eq!(status, 200, "{text}");
+    stopped.join().expect("it ends");
+}
