Keep one response for all heartbeats that wait for the same write

Cause: what promises something waits for its write's sync.

Ruled out: entries. 2,000 proposals of 4 KB to a follower whose disk does not answer leave no more than FOLLOWER_IN_FLIGHT_BYTES there.

Change: AfterSync, a module of its own; two responses to append frames of one term that rest on the same write become one. Between them no entry was replaced (that is a write), so the larger confirmation holds.

--- a/crates/consensus/src/fingerprint.rs
+++ b/crates/consensus/src/fingerprint.rs
@@ -61,9 +61,6 @@
         for (wrote, last) in &self.appended {
             (wrote.saturating_sub(self.synced), last).hash(into);
         }
-        for (wrote, to, message) in &self.held {
-            (wrote.saturating_sub(self.synced), to).hash(into);
-            message.fingerprint(moment, into);
-        }
+        self.after_sync.fingerprint(self.synced, moment, into);
     }
 }
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -1,5 +1,6 @@
 #![doc = include_str!("../README.md")]
 
+mod after_sync;
 mod clear;
 mod disk_health;
 mod election;
@@ -51,7 +52,7 @@
     synced: u64,
     appended: VecDeque<(u64, u64)>,
     self_match: u64,
-    held: VecDeque<(u64, Member, Message)>,
+    after_sync: after_sync::AfterSync,
     /// Rounds of asking all others whether they lead, numbered from a random begin in each life, and
     /// who said no in this one.
     round: u64,
@@ -102,7 +103,7 @@
             sequence: 0,
             synced: 0,
             appended: VecDeque::new(),
-            held: VecDeque::new(),
+            after_sync: after_sync::AfterSync::default(),
             round: seed >> 1,
             who_due_ms: now_ms,
             free: BTreeSet::new(),
@@ -199,9 +200,8 @@
             self.self_match = self.self_match.max(last);
             self.appended.pop_front();
         }
-        while self.held.front().is_some_and(|(wrote, _, _)| *wrote <= self.synced) {
-            let (_, to, message) = self.held.pop_front().expect("a front was seen");
-            self.effects.push(Effect::Send { to, message });
+        while let Some((to, message)) = self.after_sync.pop(self.synced) {
+            self.send(to, message);
         }
         if self.role == Role::Leader {
             self.advance_commit();
@@ -216,7 +216,7 @@
         if self.sequence <= self.synced {
             self.send(to, message);
         } else {
-            self.held.push_back((self.sequence, to, message));
+            self.after_sync.push(self.sequence, to, message);
         }
     }
 
--- a/crates/consensus/tests/disk_health.rs
+++ b/crates/consensus/tests/disk_health.rs
@@ -16,6 +16,8 @@
     waiting: Vec<u64>,
     /// The stalled one's own words to other members since its disk stalled.
     votes: usize,
+    /// Messages that the newest input led to by itself.
+    messages: usize,
 }
 
 impl Three {
@@ -25,7 +27,8 @@
         let recovered = Recovered { snapshot: Some(snapshot), ..Recovered::default() };
         let made = |id| Consensus::new(id, recovered.clone(), 7 + id, 1_000);
         let nodes = (1..=3).map(made).collect();
-        let mut three = Three { nodes, now_ms: 10_000, stalled: None, waiting: vec![], votes: 0 };
+        let mut three =
+            Three { nodes, now_ms: 10_000, stalled: None, waiting: vec![], votes: 0, messages: 0 };
         three.give(1, Input::Tick);
         three.tick(100);
         assert_eq!(three.node(1).role(), Role::Leader);
@@ -38,8 +41,14 @@
 
     fn give(&mut self, to: u64, input: Input) {
         let mut queue = vec![(to, input)];
+        let mut is_first = true;
         while let Some((to, input)) = queue.pop() {
-            for effect in self.nodes[to as usize - 1].handle(self.now_ms, input) {
+            let effects = self.nodes[to as usize - 1].handle(self.now_ms, input);
+            if std::mem::take(&mut is_first) {
+                let is_message = |effect: &&Effect| matches!(effect, Effect::Send { .. });
+                self.messages = effects.iter().filter(is_message).count();
+            }
+            for effect in effects {
                 match effect {
                     Effect::Send { to: other, message } => {
                         let grants = matches!(
@@ -206,3 +215,22 @@
     }
     assert!(three.node(1).is_disk_stalled() && !three.node(1).should_yield());
 }
+
+#[test]
+fn a_follower_whose_disk_does_not_answer_keeps_a_bounded_amount_in_memory() {
+    const ENTRY_BYTES: usize = 4 * 1024;
+    let mut three = Three::led_by_one();
+    three.stall(3);
+    for _ in 0..2_000 {
+        three.give(1, Input::Propose(vec![vec![7; ENTRY_BYTES]]));
+        three.tick(2 * HEARTBEAT_MS);
+    }
+    let unsynced_bytes = three.node(3).log().bytes_after(1);
+    assert!(unsynced_bytes <= FOLLOWER_IN_FLIGHT_BYTES, "{unsynced_bytes} bytes of entries");
+    assert!(three.node(1).commit() > 2_000, "the others go on");
+    three.heal();
+    let most = FOLLOWER_IN_FLIGHT_BYTES as usize / ENTRY_BYTES;
+    assert!(three.messages <= 2 * most, "{} responses were kept", three.messages);
+    three.tick(2 * ELECTION_MIN_MS);
+    assert_eq!(three.node(3).commit(), three.node(1).commit(), "it caught up");
+}
