Count each simulated request once, and find those that are never answered

Change: Ends has one more count each for pending ones (their key was at work), those that no node took (none was ready) and those whose node ended first; the line's sum is the number of requests. A new check: a node that lives on answers every request that it took, at the latest 2 s after its deadline.

--- a/crates/simulation/src/asks.rs
+++ b/crates/simulation/src/asks.rs
@@ -16,6 +16,9 @@
     pub goes: u32,
     pub service: &'static str,
     data: usize,
+    /// The life of the node that took it, and when it must have answered at the latest.
+    life: u64,
+    answer_due_us: u64,
     course: Option<Course>,
     pub target: Option<(Arc<Target>, Arc<Load>)>,
     /// Who was at the other end when the connection was made, whoever that is.
@@ -33,6 +36,12 @@
 }
 
 const BEHIND_US: u64 = 300_000;
+/// After its deadline a request may still wait for the settlement of its ticket.
+const SETTLED_US: u64 = 2_000_000;
+
+fn answer_bound_us(deadline_ms: u64) -> u64 {
+    deadline_ms * 1_000 + SETTLED_US
+}
 
 const SERVICES: [(&str, &str, &str); 3] = [
     ("GET", "/stock/7", "catalogue"),
@@ -70,13 +79,32 @@
         }
         let data = nodes[self.random.below(nodes.len() as u64) as usize];
         let ask = self.asks.len() as u64;
-        let run =
-            AskRun { id, keyed, goes, service, data, course: None, target: None, connected: None };
-        self.asks.insert(ask, run);
         let life = self.data[data].life;
+        let run = AskRun {
+            id,
+            keyed,
+            goes,
+            service,
+            data,
+            life,
+            answer_due_us: u64::MAX,
+            course: None,
+            target: None,
+            connected: None,
+        };
+        self.asks.insert(ask, run);
         self.after(500, Event::Arrive { ask, data, life });
     }
 
+    /// Requests that a node took, in its present life, and did not answer in time.
+    pub fn overdue(&self) -> Vec<u64> {
+        let overdue = |run: &&AskRun| {
+            let same_life = self.data[run.data].life == run.life;
+            same_life && run.course.is_some() && run.answer_due_us < self.now_us
+        };
+        self.asks.values().filter(overdue).map(|run| run.id).collect()
+    }
+
     pub fn ask_arrives(&mut self, ask: u64, data: usize, life: u64) {
         let Some(run) = self.asks.get(&ask) else { return };
         let (id, service, keyed) = (run.id, run.service, run.keyed);
@@ -115,6 +143,7 @@
             seed,
         };
         if let Some(run) = self.asks.get_mut(&ask) {
+            run.answer_due_us = self.now_us + answer_bound_us(entry.route().deadline_ms);
             run.course = Some(Course::new(go, entry));
         }
         self.go_on(ask, data, postbarrow_node::Event::Start);
--- a/crates/simulation/src/book.rs
+++ b/crates/simulation/src/book.rs
@@ -10,6 +10,40 @@
     Unreached,
 }
 
+/// Requests by the end that their client saw last.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ends {
+    pub ran: usize,
+    pub not_run: usize,
+    pub unknown: usize,
+    /// Another request with the same key was at work.
+    pub pending: usize,
+    /// No node took the request.
+    pub unreached: usize,
+    /// The node that took it ended first.
+    pub unanswered: usize,
+}
+
+impl Ends {
+    /// All requests, each counted once.
+    pub fn total(&self) -> usize {
+        self.ran + self.not_run + self.unknown + self.pending + self.unreached + self.unanswered
+    }
+
+    /// Both together.
+    #[must_use]
+    pub fn plus(self, other: Ends) -> Ends {
+        Ends {
+            ran: self.ran + other.ran,
+            not_run: self.not_run + other.not_run,
+            unknown: self.unknown + other.unknown,
+            pending: self.pending + other.pending,
+            unreached: self.unreached + other.unreached,
+            unanswered: self.unanswered + other.unanswered,
+        }
+    }
+}
+
 #[derive(Default)]
 struct Page {
     one_time: bool,
@@ -88,8 +122,19 @@
         }
     }
 
-    pub fn count(&self, told: Told) -> usize {
-        self.pages.values().filter(|page| page.told.last() == Some(&told)).count()
+    /// How many requests ended in each way, by the last end that their client saw.
+    pub fn ends(&self) -> Ends {
+        let count = |end: Option<Told>| {
+            self.pages.values().filter(|page| page.told.last().copied() == end).count()
+        };
+        Ends {
+            ran: count(Some(Told::Ran)),
+            not_run: count(Some(Told::NotRun)),
+            unknown: count(Some(Told::Unknown)),
+            pending: count(Some(Told::Pending)),
+            unreached: count(Some(Told::Unreached)),
+            unanswered: count(None),
+        }
     }
 
     pub fn asks(&self) -> usize {
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -30,6 +30,7 @@
 mod targets;
 mod world;
 
+pub use book::Ends;
 pub use control::ControlMachine;
 pub use cut_off::{Cut, CutOff, CutOffEnded};
 pub use disk::{DiskTrouble, SimDisk};
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -1,7 +1,7 @@
 //! Runs many seeds and prints each that fails, so that it can be run again alone.
 
 use gumdrop::Options;
-use postbarrow_simulation::{Fault, HOWS, How, Scenario, Step, WHATS, What};
+use postbarrow_simulation::{Ends, Fault, HOWS, How, Scenario, Step, WHATS, What};
 use std::process::ExitCode;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
@@ -126,18 +126,25 @@
     let at = |share: usize| recovery.get(recovery.len() * share / 100).copied().unwrap_or(0);
     let sum =
         |of: fn(&postbarrow_simulation::Ended) -> usize| outcomes.iter().map(of).sum::<usize>();
+    let ends = outcomes.iter().fold(Ends::default(), |sum, outcome| sum.plus(outcome.told));
     println!(
-        "{} seeds, {failed} failed; {} asks: {} ran, {} not run, {} unknown; {} plans, {} refused; {} calls, {} events",
+        "{} seeds, {failed} failed; {} plans, {} refused; {} calls, {} events",
         outcomes.len(),
-        sum(|outcome| outcome.asks),
-        sum(|outcome| outcome.told.ran),
-        sum(|outcome| outcome.told.not_run),
-        sum(|outcome| outcome.told.unknown),
         sum(|outcome| outcome.plans as usize),
         sum(|outcome| outcome.refusals as usize),
         sum(|outcome| outcome.calls),
         sum(|outcome| outcome.events),
     );
+    println!(
+        "{} requests: {} ran, {} not run, {} unknown, {} pending, {} unreached, {} unanswered",
+        ends.total(),
+        ends.ran,
+        ends.not_run,
+        ends.unknown,
+        ends.pending,
+        ends.unreached,
+        ends.unanswered,
+    );
     let synced = |part: fn(&(usize, usize)) -> usize| {
         outcomes.iter().map(|outcome| part(&outcome.synced)).sum::<usize>()
     };
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -1,4 +1,4 @@
-use crate::book::Told;
+use crate::book::Ends;
 use crate::event::Event;
 use crate::fault::{ALL, Fault};
 use crate::history::check_calls;
@@ -26,13 +26,6 @@
     pub zone_us: u64,
 }
 
-#[derive(Debug, Default)]
-pub struct Ends {
-    pub ran: usize,
-    pub not_run: usize,
-    pub unknown: usize,
-}
-
 #[derive(Debug, Default)]
 pub struct Ended {
     pub violations: Vec<String>,
@@ -162,17 +155,14 @@
     }
     check_calls(world);
     check_plan(world);
+    check_answers(world);
     let (lookups, extra) = world.book.extra();
     if extra as f64 > lookups as f64 / 5.0 + 3.0 * world.now_us as f64 / 1e6 {
         world.book.violate(format!("{extra} extra goes for {lookups} lookups"));
     }
     outcome.violations.append(&mut world.book.violations);
     outcome.asks = world.book.asks();
-    outcome.told = Ends {
-        ran: world.book.count(Told::Ran),
-        not_run: world.book.count(Told::NotRun),
-        unknown: world.book.count(Told::Unknown),
-    };
+    outcome.told = world.book.ends();
     outcome.passes = world.book.passes;
     outcome.plans = world.operator.acknowledged;
     outcome.refusals = world.operator.refusals;
@@ -195,6 +185,13 @@
     outcome.log = world.log.take().unwrap_or_default();
 }
 
+/// A node that lives on answers every request that it took.
+fn check_answers(world: &mut World) {
+    for id in world.overdue() {
+        world.book.violate(format!("ask {id} got no answer from a node that lives"));
+    }
+}
+
 fn check_plan(world: &mut World) {
     let Some(shown) = world.operator.shown.clone() else {
         return world.book.violate("the plan does not read back".into());
