--- /dev/null
+++ b/deploy/sites/vary.py
@@ -0,0 +1,271 @@
+#!/usr/bin/env python3
+"""Write a variation of a deployment's site file, for hunts on deployments that nobody has seen.
+
+    deploy/sites/vary.py SITE OUT --name NAME [--every-trouble] [--zones N] [--core N] [--losses N]
+        [--sync-ms X] [--core-cpu X] [--link-mbps X] [--twice] [--drawn-days N] [--seed S] [--troubles T]
+
+SITE is a site file as the bench reads it; OUT is written beside a copy of SITE's folder's wire.json.
+--every-trouble lets drawn days draw from every kind and variant that the contracts allow.
+--zones, --core: so many zones, and core machines in each; the other machines are spread anew.
+--losses: core machines that may be lost at once. --twice: twice the machines and targets.
+--drawn-days: N days take the place of the standard ones, each with T troubles drawn by seed S from
+every kind and variant, at any moment, and a drawn closing fault.
+"""
+import argparse
+import copy
+import os
+import random
+import shutil
+import tomllib
+
+# Every kind of trouble with its variants; what a kind needs beside them stands in SHAPE.
+TROUBLES = {
+    "after_ack_kill": ["", "kill", "timed", "taken", "taken gone", "kill timed"],
+    "after_ack_wipe": ["", "timed", "taken", "oldest", "oldest taken"],
+    "answer_lost": ["", "reset"],
+    "bad_config": ["", "cut_short", "unknown_service", "same_place", "no_weight", "old_version", "same_version"],
+    "big_config": [""],
+    "burst": [""],
+    "clock_step": ["", "back", "ahead", "leader"],
+    "config_change": ["route", "weights", "timeout", "idle"],
+    "config_race": [""],
+    "core_cut": ["", "leader", "leader race", "leader meet drain", "one_way leader", "near leader race", "all reader drain",
+                 "oldest race", "seeds race", "both leader hard", "lure hard", "reset race"],
+    "disk_full": ["", "leader"],
+    "disk_slow": ["", "leader"],
+    "disk_stall": ["", "leader"],
+    "garble": ["", "extra", "extra late", "unframed", "early"],
+    "give_up": [""],
+    "herd_kill": ["", "power", "taken", "meet drain"],
+    "hup": [""],
+    "node_cut": ["", "all", "servers", "reset", "refuse"],
+    "node_freeze": ["", "leader meet", "leader race", "reader drain"],
+    "node_kill": ["", "power", "leader race drain", "meet drain", "power leader race", "seed hard"],
+    "node_slow": [""],
+    "release": [""],
+    "replace_core": ["", "planned", "seed", "oldest", "planned oldest", "leader race"],
+    "replace_with_reuse": ["", "drain", "dark"],
+    "reset_conns": [""],
+    "ack_lost": [""],
+    "retry_abuse": [""],
+    "roll_term": ["", "busy", "remove"],
+    "scale_in": ["", "spot"],
+    "scale_out": [""],
+    "seed_turnover": [""],
+    "srv_crash": ["", "dark", "across", "gone"],
+    "srv_slow": [""],
+}
+HEALTH = {
+    "srv_grey": ["errors", "shed", "busy", "hang", "reset", "mute", "slow"],
+    "srv_lying_health": ["errors", "hang", "reset", "bad"],
+    "srv_flap": [""],
+}
+POOL = {"idle_race": [""]}
+ON_CORE = ("leader", "reader", "seed", "meet", "race", "hard")
+SHAPE = {
+    "after_ack_kill": {"for_s": 2.0},
+    "after_ack_wipe": {"for_s": 2.0},
+    "answer_lost": {"share": 0.5, "x": 0.05, "for_s": 5.0},
+    "ack_lost": {"x": 0.7, "for_s": 8.0},
+    "bad_config": {"count": 2, "gap_s": 0.8},
+    "big_config": {"count": 300},
+    "burst": {"x": 1.6, "for_s": 4.0},
+    "clock_step": {"share": 0.4, "x": 3000.0, "for_s": 5.0},
+    "config_race": {"count": 4, "gap_s": 1.0},
+    "core_cut": {"count": 1, "for_s": 6.0},
+    "disk_full": {"count": 1, "for_s": 5.0},
+    "disk_slow": {"count": 1, "x": 30.0, "for_s": 5.0},
+    "disk_stall": {"count": 1, "for_s": 5.0},
+    "garble": {"share": 0.6, "x": 0.05, "for_s": 5.0},
+    "give_up": {"share": 0.3, "x": 200.0, "for_s": 5.0},
+    "herd_kill": {"share": 0.6, "for_s": 1.5},
+    "hup": {"share": 0.5, "gap_s": 0.3},
+    "idle_race": {"share": 0.5, "for_s": 5.0},
+    "node_cut": {"share": 0.2, "for_s": 5.0},
+    "node_freeze": {"share": 0.15, "for_s": 4.0},
+    "node_kill": {"share": 0.15, "for_s": 2.0},
+    "node_slow": {"share": 0.15, "x": 5.0, "for_s": 4.0},
+    "release": {"share": 0.5, "x": 1.0, "gap_s": 0.8},
+    "replace_core": {"x": 1.0},
+    "replace_with_reuse": {"share": 0.2},
+    "reset_conns": {"share": 0.4, "x": 0.7},
+    "retry_abuse": {"share": 0.3, "x": 3.0, "for_s": 5.0},
+    "roll_term": {"share": 0.5, "x": 1.0, "gap_s": 1.0},
+    "scale_in": {"share": 0.15},
+    "scale_out": {"share": 0.3, "gap_s": 3.0},
+    "srv_crash": {"share": 0.2, "for_s": 4.0},
+    "srv_flap": {"share": 0.15, "for_s": 5.0},
+    "srv_grey": {"share": 0.15, "for_s": 4.0},
+    "srv_lying_health": {"share": 0.12, "for_s": 4.0},
+    "srv_slow": {"share": 0.2, "x": 4.0, "for_s": 4.0},
+}
+
+
+def every_trouble(contracts):
+    """Every kind and variant that these contracts allow, as entries of a site's list."""
+    kinds = dict(TROUBLES)
+    kinds.update(HEALTH if "health" in contracts else {})
+    kinds.update(POOL if "pool" in contracts else {})
+    entries = []
+    for kind, variants in kinds.items():
+        for how in variants:
+            entry = {"kind": kind, **SHAPE.get(kind, {})}
+            if kind in ("node_kill", "node_freeze") and any(word in how.split() for word in ON_CORE):
+                del entry["share"]
+                entry.update(on="core", count=1)
+            if how:
+                entry["how"] = how
+            entries.append(entry)
+    return entries
+
+
+def spread(count, places, at):
+    """How many of `count` things stand at place number `at` of `places`."""
+    return count // places + (at < count % places)
+
+
+def lay_out(site, zones, core):
+    """Spread the machines, targets and clients over so many zones, with `core` disk machines in each."""
+    names = [f"zone-{chr(ord('a') + at)}" for at in range(zones)]
+    region = site["zones"][0]["region"]
+    site["zones"] = [{"name": name, "region": region} for name in names]
+    disk = next(row for row in site["machines"] if row.get("counted"))
+    plain = next(row for row in site["machines"] if not row.get("counted"))
+    count = sum(row["count"] for row in site["machines"] if not row.get("counted"))
+    site["machines"] = []
+    for at, name in enumerate(names):
+        site["machines"].append({**disk, "zone": name, "count": core, "spare": 1})
+        site["machines"].append({**plain, "zone": name, "count": max(1, spread(count, zones, at)), "spare": 2})
+    for service in site["services"]:
+        targets = sum(row["count"] for row in service["servers"])
+        counts = [spread(targets, zones, at) for at in range(zones)]
+        service["servers"] = [{"zone": name, "count": count} for name, count in zip(names, counts) if count]
+    for holder in [site, *site["day"]]:
+        holder["traffic"] = lay_traffic(holder["traffic"], names)
+    site["cloud"]["zone"] = names[0]
+
+
+def lay_traffic(rows, names):
+    rate = sum(row["per_s"] for row in rows)
+    clients = sum(row["clients"] for row in rows)
+    one = {**rows[0], "per_s": rate / len(names), "clients": max(1, clients // len(names))}
+    return [{**copy.deepcopy(one), "zone": name} for name in names]
+
+
+def twice(site):
+    for row in site["machines"]:
+        row["count"] *= 1 if row.get("counted") else 2
+    for service in site["services"]:
+        for row in service["servers"]:
+            row["count"] *= 2
+    for holder in [site, *site["day"]]:
+        for row in holder["traffic"]:
+            row["per_s"] *= 2
+            row["clients"] *= 2
+
+
+PLANNED = ("config_change", "config_race", "bad_config", "big_config", "release", "roll_term", "scale_in", "scale_out")
+CLOSINGS = [("power_off_all", how) for how in ("", "timed", "taken")]
+CLOSINGS += [("kill_all", how) for how in ("", "timed", "taken")]
+CLOSINGS += [("wipe_after_ack", how) for how in ("", "timed", "taken", "oldest", "oldest timed", "aimed")]
+
+
+def drawn_day(site, number, draw, troubles):
+    """One day with so many troubles; its marks are those of the first standard day."""
+    first = site["day"][0]
+    end_s = site["length_s"] - 3.0
+    entries = draw.sample(every_trouble(site["contracts"]), troubles)
+    timed = [{"at": round(draw.uniform(1.0, end_s), 2), **entry} for entry in entries]
+    timed += [{"at": round(draw.uniform(1.0, end_s), 2), "kind": "config_race", "count": 6, "gap_s": 1.5}]
+    timed.sort(key=lambda entry: entry["at"])
+    kind, how = draw.choice(CLOSINGS)
+    planned = [entry for entry in timed if is_planned(entry)]
+    return {
+        **first,
+        "name": f"drawn-{number}",
+        "slot": "trouble",
+        "seed": draw.randrange(1 << 30),
+        "light": True,
+        "wall": 6.0,
+        "plan": planned,
+        "faults": [entry for entry in timed if not is_planned(entry)],
+        "closing": {"kind": kind, "down_s": round(draw.uniform(0.5, 1.5), 2), **({"how": how} if how else {})},
+    }
+
+
+def is_planned(entry):
+    return entry["kind"] in PLANNED or (entry["kind"] == "replace_core" and "planned" in entry.get("how", ""))
+
+
+def inline(value):
+    """One TOML value on one line."""
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, (int, float)):
+        return repr(value)
+    if isinstance(value, str):
+        return '"' + value.replace("\\", "\\\\").replace('"', '\\"') + '"'
+    if isinstance(value, list):
+        return "[" + ", ".join(inline(one) for one in value) + "]"
+    return "{ " + ", ".join(f"{key} = {inline(one)}" for key, one in value.items()) + " }"
+
+
+def dump(site):
+    tables = {key: value for key, value in site.items() if isinstance(value, dict)}
+    lines = [f"{key} = {inline(value)}" for key, value in site.items() if key != "day" and key not in tables]
+    for name, table in tables.items():
+        lines += ["", f"[{name}]"] + [f"{key} = {inline(value)}" for key, value in table.items()]
+    for day in site["day"]:
+        lines += ["", "[[day]]"] + [f"{key} = {inline(value)}" for key, value in day.items()]
+    return "\n".join(lines) + "\n"
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("site")
+    parser.add_argument("out")
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--every-trouble", action="store_true")
+    parser.add_argument("--zones", type=int)
+    parser.add_argument("--core", type=int, default=1)
+    parser.add_argument("--losses", type=int)
+    parser.add_argument("--sync-ms", type=float)
+    parser.add_argument("--core-cpu", type=float)
+    parser.add_argument("--link-mbps", type=float)
+    parser.add_argument("--twice", action="store_true")
+    parser.add_argument("--drawn-days", type=int)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--troubles", type=int, default=9)
+    given = parser.parse_args()
+    with open(given.site, "rb") as file:
+        site = tomllib.load(file)
+    site["name"] = given.name
+    if given.zones:
+        lay_out(site, given.zones, given.core)
+    if given.twice:
+        twice(site)
+    if given.losses is not None:
+        site["tolerate"]["machines"] = given.losses
+    for row in site["machines"]:
+        if row.get("counted"):
+            row["disk"]["sync_ms"] = given.sync_ms or row["disk"]["sync_ms"]
+            row["cpu_share"] = given.core_cpu or row["cpu_share"]
+        else:
+            row["link_mbps"] = given.link_mbps or row["link_mbps"]
+    if given.every_trouble:
+        site["troubles"] = every_trouble(site["contracts"])
+    if given.drawn_days:
+        draw = random.Random(given.seed)
+        numbers = range(1, given.drawn_days + 1)
+        site["day"] = [drawn_day(site, number, draw, given.troubles) for number in numbers]
+    folder = os.path.dirname(os.path.abspath(given.out))
+    os.makedirs(folder, exist_ok=True)
+    with open(given.out, "w") as file:
+        file.write(dump(site))
+    wire = os.path.join(folder, "wire.json")
+    if not os.path.exists(wire):
+        shutil.copy(os.path.join(os.path.dirname(given.site), "wire.json"), wire)
+
+
+if __name__ == "__main__":
+    main()
