--- a/crates/desk/src/lib.rs
+++ b/crates/controller-client/src/lib.rs
@@ -5,13 +5,13 @@
 use open::{Open, is_refusal};
 use postbarrow_constants::consensus::CONTACT_LOST_MS;
 use postbarrow_constants::coordination::ASK_AGAIN_MS;
-use postbarrow_messages::{Ask, Message, Response};
+use postbarrow_messages::{Message, Request, Response};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// Open questions, and where the controller is as far as is known.
 #[derive(Clone, Debug, Default)]
-pub struct Desk {
+pub struct ControllerClient {
     open: BTreeMap<u64, Open>,
     controller: Option<SocketAddr>,
     members: Vec<SocketAddr>,
@@ -20,7 +20,7 @@
     silent_since_ms: Option<u64>,
 }
 
-/// What the owner of a desk does next.
+/// What the owner of a client does next.
 pub enum Effect {
     /// A question goes out.
     Send { to: SocketAddr, message: Message },
@@ -28,7 +28,7 @@
     Answer { key: u64, response: Response },
 }
 
-impl Desk {
+impl ControllerClient {
     /// What was learnt of the control plane; a new controller gets every open question at once.
     /// Ends the silence that a member of the log was in.
     pub fn learn(&mut self, now_ms: u64, controller: Option<SocketAddr>, members: &[SocketAddr]) {
@@ -54,8 +54,8 @@
     }
 
     /// Asks until there is an answer, or for so long.
-    pub fn ask(&mut self, now_ms: u64, key: u64, ask: Ask, wait_ms: u64) -> Vec<Effect> {
-        self.open.insert(key, Open::new(now_ms, ask, wait_ms));
+    pub fn ask(&mut self, now_ms: u64, key: u64, request: Request, wait_ms: u64) -> Vec<Effect> {
+        self.open.insert(key, Open::new(now_ms, request, wait_ms));
         self.tick(now_ms)
     }
 
@@ -74,7 +74,7 @@
             open.again_ms = now_ms + ASK_AGAIN_MS;
             if let Some(to) = to {
                 open.on_send();
-                let message = Message::Ask { key: *key, ask: open.ask.clone() };
+                let message = Message::Request { key: *key, request: open.request.clone() };
                 effects.push(Effect::Send { to, message });
                 turned = true;
             }
@@ -115,7 +115,7 @@
     pub fn on_response(&mut self, now_ms: u64, key: u64, response: Response) -> Vec<Effect> {
         let Some(open) = self.open.get_mut(&key) else { return Vec::new() };
         match response {
-            // Only a desk can say that nobody took a question.
+            // Only a client can say that nobody took a question.
             Response::Unavailable => return Vec::new(),
             Response::Lost => {
                 open.on_lost();
@@ -133,7 +133,7 @@
                 open.on_copy_answered();
                 open.unheard = 0;
             }
-            response if is_refusal(&open.ask, &response) => {
+            response if is_refusal(&open.request, &response) => {
                 open.on_copy_answered();
                 open.on_refusal(response);
             }
--- a/crates/desk/src/open.rs
+++ b/crates/controller-client/src/open.rs
@@ -1,6 +1,6 @@
 //! One question that has no answer yet, and what is known of its copies.
 
-use postbarrow_messages::{Ask, Response};
+use postbarrow_messages::{Request, Response};
 use postbarrow_state::{Call, Outcome};
 
 /// Statuses from here on tell an operator that a plan was not taken.
@@ -9,7 +9,7 @@
 /// A question that waits for its end.
 #[derive(Clone, Debug)]
 pub(crate) struct Open {
-    pub ask: Ask,
+    pub request: Request,
     pub again_ms: u64,
     pub until_ms: u64,
     /// Sends to the present controller that got no response.
@@ -24,9 +24,17 @@
 
 impl Open {
     /// A question that was not sent yet.
-    pub fn new(now_ms: u64, ask: Ask, wait_ms: u64) -> Open {
+    pub fn new(now_ms: u64, request: Request, wait_ms: u64) -> Open {
         let until_ms = now_ms.saturating_add(wait_ms);
-        Open { ask, again_ms: now_ms, until_ms, unheard: 0, copies: 0, refused: None, lost: false }
+        Open {
+            request,
+            again_ms: now_ms,
+            until_ms,
+            unheard: 0,
+            copies: 0,
+            refused: None,
+            lost: false,
+        }
     }
 
     /// Whether another copy may go out now: none does after a refusal.
@@ -78,13 +86,13 @@
 
 /// Whether a response says that nothing was done, for a reason that may be gone when another copy
 /// of the same question arrives.
-pub(crate) fn is_refusal(ask: &Ask, response: &Response) -> bool {
-    match (ask, response) {
-        (Ask::Submit(submission), Response::Operator { status, .. }) => {
+pub(crate) fn is_refusal(request: &Request, response: &Response) -> bool {
+    match (request, response) {
+        (Request::Submit(submission), Response::Operator { status, .. }) => {
             !submission.dry_run && *status >= FIRST_REFUSING_STATUS
         }
-        (Ask::Call { .. }, Response::Full) => true,
-        (Ask::Call { call, .. }, Response::Outcome(outcome)) => is_refused_call(call, outcome),
+        (Request::Call { .. }, Response::Full) => true,
+        (Request::Call { call, .. }, Response::Outcome(outcome)) => is_refused_call(call, outcome),
         _ => false,
     }
 }
--- a/crates/desk/tests/refusals.rs
+++ b/crates/controller-client/tests/refusals.rs
@@ -1,8 +1,8 @@
 //! A refusal is told only once no copy of its question can still take effect.
 
 use postbarrow_constants::coordination::ASK_AGAIN_MS;
-use postbarrow_desk::{Desk, Effect};
-use postbarrow_messages::{Ask, Response};
+use postbarrow_controller_client::{ControllerClient, Effect};
+use postbarrow_messages::{Request, Response};
 use postbarrow_state::{Call, Key, Outcome};
 use std::net::SocketAddr;
 
@@ -13,9 +13,9 @@
     SocketAddr::from(([10, 0, 0, last], 1))
 }
 
-fn start() -> Ask {
+fn start() -> Request {
     let call = Call::Lock { name: "lock".into(), holder: "one".into(), ttl_ms: 1_000 };
-    Ask::Call { id: None, call }
+    Request::Call { id: None, call }
 }
 
 fn held() -> Response {
@@ -30,16 +30,16 @@
     told.collect()
 }
 
-/// A desk with one question that was sent so many times.
-fn sent(ask: Ask, times: u64) -> Desk {
-    let mut desk = Desk::default();
-    desk.learn(0, Some(leader(1)), &[leader(1), leader(2)]);
-    let mut sends = desk.ask(0, QUESTION, ask, WAIT_MS).len();
+/// A client with one question that was sent so many times.
+fn sent(request: Request, times: u64) -> ControllerClient {
+    let mut client = ControllerClient::default();
+    client.learn(0, Some(leader(1)), &[leader(1), leader(2)]);
+    let mut sends = client.ask(0, QUESTION, request, WAIT_MS).len();
     for again in 1..times {
-        sends += desk.tick(again * ASK_AGAIN_MS).len();
+        sends += client.tick(again * ASK_AGAIN_MS).len();
     }
     assert_eq!(sends as u64, times);
-    desk
+    client
 }
 
 #[test]
@@ -49,32 +49,32 @@
         (start(), Response::Full),
         (start(), Response::Outcome(Outcome::NotHeld)),
     ];
-    for (ask, refusal) in refusals {
-        let mut desk = sent(ask, 1);
-        assert_eq!(answers(desk.on_response(5, QUESTION, refusal.clone())), [refusal]);
+    for (request, refusal) in refusals {
+        let mut client = sent(request, 1);
+        assert_eq!(answers(client.on_response(5, QUESTION, refusal.clone())), [refusal]);
     }
 }
 
 #[test]
 fn a_refusal_with_another_copy_on_its_way_waits_for_that_copys_answer() {
     for refusal in [held(), Response::Full] {
-        let mut desk = sent(start(), 2);
-        assert!(answers(desk.on_response(310, QUESTION, refusal.clone())).is_empty());
-        assert!(desk.tick(2 * ASK_AGAIN_MS + 50).is_empty(), "a refused question goes no more");
+        let mut client = sent(start(), 2);
+        assert!(answers(client.on_response(310, QUESTION, refusal.clone())).is_empty());
+        assert!(client.tick(2 * ASK_AGAIN_MS + 50).is_empty(), "a refused question goes no more");
         let elsewhere = Response::NotController { controller: Some(leader(2)) };
-        assert_eq!(answers(desk.on_response(700, QUESTION, elsewhere)), [refusal]);
+        assert_eq!(answers(client.on_response(700, QUESTION, elsewhere)), [refusal]);
     }
-    let mut desk = sent(start(), 2);
-    assert!(answers(desk.on_response(310, QUESTION, held())).is_empty());
+    let mut client = sent(start(), 2);
+    assert!(answers(client.on_response(310, QUESTION, held())).is_empty());
     let taken = Response::Outcome(Outcome::Locked { fence: 5, ttl_ms: 1_000 });
-    assert_eq!(answers(desk.on_response(320, QUESTION, taken.clone())), [taken]);
+    assert_eq!(answers(client.on_response(320, QUESTION, taken.clone())), [taken]);
 }
 
 #[test]
 fn a_refusal_whose_other_copy_is_never_heard_of_ends_as_unknown() {
-    let mut desk = sent(start(), 2);
-    assert!(answers(desk.on_response(310, QUESTION, Response::Full)).is_empty());
-    assert_eq!(answers(desk.tick(WAIT_MS)), [Response::TimedOut]);
+    let mut client = sent(start(), 2);
+    assert!(answers(client.on_response(310, QUESTION, Response::Full)).is_empty());
+    assert_eq!(answers(client.tick(WAIT_MS)), [Response::TimedOut]);
     let mut lost = sent(start(), 1);
     assert!(answers(lost.on_response(5, QUESTION, Response::Lost)).is_empty());
     lost.tick(ASK_AGAIN_MS);
@@ -84,16 +84,16 @@
 
 #[test]
 fn a_copy_that_its_controller_dropped_holds_no_refusal_back() {
-    let mut desk = sent(start(), 2);
-    assert!(answers(desk.on_response(310, QUESTION, Response::Waiting)).is_empty());
-    assert_eq!(answers(desk.on_response(320, QUESTION, held())), [held()]);
+    let mut client = sent(start(), 2);
+    assert!(answers(client.on_response(310, QUESTION, Response::Waiting)).is_empty());
+    assert_eq!(answers(client.on_response(320, QUESTION, held())), [held()]);
 }
 
 #[test]
 fn what_was_done_is_told_whatever_other_copies_do() {
     let put = Call::Put { name: "k".into(), value: vec![1], revision: Some(3) };
-    let mut desk = sent(Ask::Call { id: Some("id".into()), call: put }, 3);
+    let mut client = sent(Request::Call { id: Some("id".into()), call: put }, 3);
     let done = Response::Outcome(Outcome::Key(Key { value: vec![1], revision: 4 }));
-    assert_eq!(answers(desk.on_response(700, QUESTION, done.clone())), [done]);
-    assert!(desk.on_response(710, QUESTION, Response::Full).is_empty(), "nobody waits any more");
+    assert_eq!(answers(client.on_response(700, QUESTION, done.clone())), [done]);
+    assert!(client.on_response(710, QUESTION, Response::Full).is_empty(), "nobody waits any more");
 }
--- a/crates/controller/src/lead.rs
+++ b/crates/controller/src/lead.rs
@@ -6,7 +6,7 @@
 use crate::walk::Walk;
 use crate::watches::Parked;
 use crate::{ControlNode, Origin};
-use postbarrow_messages::{Ask, Response};
+use postbarrow_messages::{Request, Response};
 use postbarrow_state::{Incarnation, Name, Record, State};
 use postbarrow_transactions::{Line, Writer, encode};
 use std::collections::{BTreeMap, VecDeque};
@@ -17,7 +17,7 @@
     pub ready: bool,
     pub writer: Option<Writer<State>>,
     pub replies: VecDeque<Reply>,
-    pub waiting: VecDeque<(u64, Origin, Ask)>,
+    pub waiting: VecDeque<(u64, Origin, Request)>,
     pub open: Option<Open>,
     pub locks_due_ms: BTreeMap<Name, u64>,
     /// Settled keys by the era of their settlement.
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,6 +1,5 @@
 //! A control-plane node without I/O: the log's member, and its single writer while it leads.
 
-mod asks;
 mod calls;
 mod commit;
 mod contact;
@@ -17,6 +16,7 @@
 mod plan_delta;
 mod recent;
 mod reply;
+mod requests;
 mod status;
 mod submission;
 mod submit;
@@ -139,13 +139,15 @@
             Message::Form(members) => self.log(now_ms, consensus::Input::Form(members)),
             Message::Introduce => self.introduce(from),
             Message::Introduction { control, formed } => self.on_introduction(control, formed),
-            Message::Fresh(ask) => self.on_fresh(now_ms, from, ask),
+            Message::Fresh(request) => self.on_fresh(now_ms, from, request),
             Message::Tail { after } => {
                 if self.lead.as_ref().is_some_and(|lead| lead.ready) {
                     self.relay.on_tail(now_ms, from, after);
                 }
             }
-            Message::Ask { key, ask } => self.on_ask(now_ms, Origin { to: from, key }, ask),
+            Message::Request { key, request } => {
+                self.on_ask(now_ms, Origin { to: from, key }, request)
+            }
             Message::Consensus { .. }
             | Message::FreshResponse { .. }
             | Message::News { .. }
--- a/crates/controller/src/nodes.rs
+++ b/crates/controller/src/nodes.rs
@@ -30,17 +30,17 @@
 }
 
 impl ControlNode {
-    pub(crate) fn on_fresh(&mut self, now_ms: u64, from: SocketAddr, ask: FreshAsk) {
+    pub(crate) fn on_fresh(&mut self, now_ms: u64, from: SocketAddr, request: FreshAsk) {
         let members: Vec<SocketAddr> =
             self.consensus.members().iter().map(|member| member.address).collect();
         if !self.has_lease(now_ms) || !self.knows_targets(now_ms) {
             let controller = self.consensus.leader().map(|leader| leader.address);
             let controller = controller.filter(|address| *address != self.own.address);
             let fresh = Fresh::NotController { controller, members };
-            return self.send(from, Message::FreshResponse { number: ask.number, fresh });
+            return self.send(from, Message::FreshResponse { number: request.number, fresh });
         }
-        let number = ask.number;
-        self.register(now_ms, ask);
+        let number = request.number;
+        self.register(now_ms, request);
         let fresh =
             Fresh::Granted { term: self.consensus.term(), watermark: self.image_offset, members };
         self.send(from, Message::FreshResponse { number, fresh });
@@ -74,24 +74,24 @@
         }
     }
 
-    fn register(&mut self, now_ms: u64, ask: FreshAsk) {
-        let known = self.current().and_then(|state| state.nodes.get(&ask.node.incarnation));
-        let absent = known.is_none_or(|known| **known != ask.node);
+    fn register(&mut self, now_ms: u64, request: FreshAsk) {
+        let known = self.current().and_then(|state| state.nodes.get(&request.node.incarnation));
+        let absent = known.is_none_or(|known| **known != request.node);
         if absent && !self.is_open() {
-            self.say(format!("node {} joins from {}", ask.node.name, ask.node.address));
-            self.propose(now_ms, vec![Record::Node(ask.node.clone())]);
+            self.say(format!("node {} joins from {}", request.node.name, request.node.address));
+            self.propose(now_ms, vec![Record::Node(request.node.clone())]);
         }
         let Some(lead) = &mut self.lead else { return };
-        lead.samples.take(now_ms, ask.recent, ask.seen);
+        lead.samples.take(now_ms, request.recent, request.seen);
         let seen = Seen {
             last_ms: now_ms,
-            published: ask.published,
-            version: ask.version,
-            ready: ask.ready,
-            failing: ask.failing.into_iter().collect(),
-            suspects: ask.suspects,
+            published: request.published,
+            version: request.version,
+            ready: request.ready,
+            failing: request.failing.into_iter().collect(),
+            suspects: request.suspects,
         };
-        lead.nodes.insert(ask.node.incarnation, seen);
+        lead.nodes.insert(request.node.incarnation, seen);
     }
 
     pub(crate) fn node_tick(&mut self, now_ms: u64) {
--- a/crates/controller/src/asks.rs
+++ b/crates/controller/src/requests.rs
@@ -1,65 +1,67 @@
 //! Where questions come in, and wait for an open transaction.
 
 use crate::{ControlNode, Origin};
-use postbarrow_messages::{Ask, Response};
+use postbarrow_messages::{Request, Response};
 
 impl ControlNode {
     /// The one gate of all questions. Without the lease nothing is answered from committed state,
     /// which another leader may have changed, and nothing is written: so "not the controller"
     /// always says that this question did nothing here.
-    pub(crate) fn on_ask(&mut self, now_ms: u64, origin: Origin, ask: Ask) {
+    pub(crate) fn on_ask(&mut self, now_ms: u64, origin: Origin, request: Request) {
         if !self.has_lease(now_ms) || self.is_leaving() {
             let controller = self.consensus.leader().map(|leader| leader.address);
             let controller = controller.filter(|address| *address != self.own.address);
             return self.respond(origin, Response::NotController { controller });
         }
-        let reads =
-            matches!(ask, Ask::Show | Ask::Targets | Ask::Members | Ask::Status | Ask::Recent);
-        if !reads && self.is_open() && !is_read(&ask) {
-            return self.wait_for_close(now_ms, origin, ask);
+        let reads = matches!(
+            request,
+            Request::Show | Request::Targets | Request::Members | Request::Status | Request::Recent
+        );
+        if !reads && self.is_open() && !is_read(&request) {
+            return self.wait_for_close(now_ms, origin, request);
         }
-        match ask {
-            Ask::Ticket(ticket) => self.on_ticket(now_ms, origin, ticket),
-            Ask::Settle { ticket, settlement, response } => {
+        match request {
+            Request::Ticket(ticket) => self.on_ticket(now_ms, origin, ticket),
+            Request::Settle { ticket, settlement, response } => {
                 self.on_settle(now_ms, origin, ticket, settlement, response)
             }
-            Ask::Call { id, call } => self.on_call(now_ms, origin, id, call),
-            Ask::Submit(submission) => self.on_submit(now_ms, origin, submission),
-            Ask::Show => self.on_show(origin),
-            Ask::Targets => self.on_targets(now_ms, origin),
-            Ask::Members => self.on_members(now_ms, origin),
-            Ask::Status => self.on_status(now_ms, origin),
-            Ask::Recent => self.on_recent(now_ms, origin),
+            Request::Call { id, call } => self.on_call(now_ms, origin, id, call),
+            Request::Submit(submission) => self.on_submit(now_ms, origin, submission),
+            Request::Show => self.on_show(origin),
+            Request::Targets => self.on_targets(now_ms, origin),
+            Request::Members => self.on_members(now_ms, origin),
+            Request::Status => self.on_status(now_ms, origin),
+            Request::Recent => self.on_recent(now_ms, origin),
         }
     }
 
     /// Nothing is interleaved with an open transaction; a repeat of a waiting question is
     /// dropped, and its sender told so.
-    fn wait_for_close(&mut self, now_ms: u64, origin: Origin, ask: Ask) {
+    fn wait_for_close(&mut self, now_ms: u64, origin: Origin, request: Request) {
         let Some(lead) = &mut self.lead else { return };
         let waits = |other: &Origin| other.to == origin.to && other.key == origin.key;
         let open = lead.open.as_ref().is_some_and(|open| waits(&open.origin));
         if open || lead.waiting.iter().any(|(_, other, _)| waits(other)) {
             return self.respond(origin, Response::Waiting);
         }
-        lead.waiting.push_back((now_ms, origin, ask));
+        lead.waiting.push_back((now_ms, origin, request));
     }
 
     pub(crate) fn drain_waiting(&mut self, now_ms: u64) {
         while !self.is_open() {
             let Some(lead) = &mut self.lead else { return };
-            let Some((since_ms, origin, ask)) = lead.waiting.pop_front() else { return };
+            let Some((since_ms, origin, request)) = lead.waiting.pop_front() else { return };
             lead.longest_stall_ms = lead.longest_stall_ms.max(now_ms.saturating_sub(since_ms));
-            self.on_ask(now_ms, origin, ask);
+            self.on_ask(now_ms, origin, request);
         }
     }
 }
 
-fn is_read(ask: &Ask) -> bool {
+fn is_read(request: &Request) -> bool {
     use postbarrow_state::Call;
     matches!(
-        ask,
-        Ask::Call {
+        request,
+        Request::Call {
             call: Call::ReadLock { .. }
                 | Call::ReadNumber { .. }
                 | Call::ReadKey { .. }
--- a/crates/controller/tests/bench/mod.rs
+++ b/crates/controller/tests/bench/mod.rs
@@ -146,8 +146,8 @@
         self.message(Message::Consensus { from: member(2), to: 1, message });
     }
 
-    pub fn ask(&mut self, key: u64, ask: Ask) {
-        self.message(Message::Ask { key, ask });
+    pub fn ask(&mut self, key: u64, request: Request) {
+        self.message(Message::Request { key, request });
     }
 
     pub fn answer(&self, key: u64) -> Option<&Response> {
@@ -164,7 +164,7 @@
     }
 
     pub fn fresh(&mut self, incarnation: u64) {
-        let ask = FreshAsk {
+        let request = FreshAsk {
             number: self.now_ms,
             node: node(incarnation),
             published: 0,
@@ -175,7 +175,7 @@
             recent: Vec::new(),
             seen: 0,
         };
-        self.message(Message::Fresh(ask));
+        self.message(Message::Fresh(request));
         self.sync();
     }
 
@@ -221,7 +221,7 @@
     }
 
     pub fn submit(&mut self, key: u64, text: &str) {
-        self.ask(key, Ask::Submit(submission(text)));
+        self.ask(key, Request::Submit(submission(text)));
     }
 }
 
--- a/crates/controller/tests/cut_off.rs
+++ b/crates/controller/tests/cut_off.rs
@@ -10,12 +10,12 @@
 
 const UNKNOWN: Response = Response::NotController { controller: None };
 
-fn call(call: Call) -> Ask {
-    Ask::Call { id: Some(Name::from("fresh")), call }
+fn call(call: Call) -> Request {
+    Request::Call { id: Some(Name::from("fresh")), call }
 }
 
-fn repeated(id: &str, call: Call) -> Ask {
-    Ask::Call { id: Some(Name::from(id)), call }
+fn repeated(id: &str, call: Call) -> Request {
+    Request::Call { id: Some(Name::from(id)), call }
 }
 
 fn lock(holder: &str) -> Call {
@@ -34,8 +34,8 @@
     Call::Watch { sort: Sort::Key, prefix: "".into(), after }
 }
 
-fn settle(ticket: Ticket) -> Ask {
-    Ask::Settle { ticket, settlement: Settlement::Ran, response: None }
+fn settle(ticket: Ticket) -> Request {
+    Request::Settle { ticket, settlement: Settlement::Ran, response: None }
 }
 
 /// With a plan, a lock, a number, a key and a settled ticket.
@@ -47,11 +47,11 @@
         repeated("lock", lock("a")),
         repeated("number", number()),
         repeated("put", put(0)),
-        Ask::Ticket(ticket("t", 1)),
+        Request::Ticket(ticket("t", 1)),
         settle(ticket("t", 1)),
     ];
-    for (at, ask) in asks.into_iter().enumerate() {
-        trio.bench.ask(910 + at as u64, ask);
+    for (at, request) in asks.into_iter().enumerate() {
+        trio.bench.ask(910 + at as u64, request);
         trio.settle();
         let told = trio.bench.answer(910 + at as u64);
         assert!(!matches!(told, None | Some(Response::NotController { .. })), "{at}: {told:?}");
@@ -61,7 +61,7 @@
 }
 
 /// Each kind of question whose answer rests on what was committed before it came.
-fn questions() -> Vec<(&'static str, Ask)> {
+fn questions() -> Vec<(&'static str, Request)> {
     let fence = 1;
     let (name, holder) = (Name::from("l"), Name::from("b"));
     let renew = Call::Renew { name: name.clone(), holder: holder.clone(), fence, ttl_ms: None };
@@ -71,17 +71,17 @@
     let mut stranger = ticket("x", 8);
     stranger.node = 77;
     vec![
-        ("the plan", Ask::Show),
-        ("the targets", Ask::Targets),
-        ("the members", Ask::Members),
-        ("the status", Ask::Status),
-        ("the recent requests", Ask::Recent),
+        ("the plan", Request::Show),
+        ("the targets", Request::Targets),
+        ("the members", Request::Members),
+        ("the status", Request::Status),
+        ("the recent requests", Request::Recent),
         (
             "a plan on a stale base",
-            Ask::Submit(submission(&plan("v3", Some("v2"), 1, "catalogue"))),
+            Request::Submit(submission(&plan("v3", Some("v2"), 1, "catalogue"))),
         ),
-        ("the plan in force again", Ask::Submit(submission(&plan("v1", None, 1, "catalogue")))),
-        ("its version, other text", Ask::Submit(submission(&plan("v1", None, 2, "catalogue")))),
+        ("the plan in force again", Request::Submit(submission(&plan("v1", None, 1, "catalogue")))),
+        ("its version, other text", Request::Submit(submission(&plan("v1", None, 2, "catalogue")))),
         ("a lock held by another", call(lock("b"))),
         ("a lock of one's own", call(lock("a"))),
         ("a renewal", call(own)),
@@ -101,9 +101,9 @@
         ("a first watch", call(watch(None))),
         ("a watch with news", call(watch(Some(0)))),
         ("a watch that is too far", call(watch(Some(1_000)))),
-        ("a ticket of a known key", Ask::Ticket(ticket("t", 6))),
-        ("a ticket of another digest", Ask::Ticket(other_digest)),
-        ("a ticket for an unknown node", Ask::Ticket(stranger)),
+        ("a ticket of a known key", Request::Ticket(ticket("t", 6))),
+        ("a ticket of another digest", Request::Ticket(other_digest)),
+        ("a ticket for an unknown node", Request::Ticket(stranger)),
         ("a repeated settlement", settle(ticket("t", 1))),
     ]
 }
@@ -111,15 +111,15 @@
 /// Every question gets an answer while the lease lasts, and none of substance in these conditions.
 fn only_with_the_lease(condition: &str, worsen: impl Fn(&mut Trio)) {
     let mut trio = with_state();
-    for (at, (kind, ask)) in questions().into_iter().enumerate() {
+    for (at, (kind, request)) in questions().into_iter().enumerate() {
         let key = at as u64;
-        trio.bench.ask(key, ask.clone());
+        trio.bench.ask(key, request.clone());
         trio.settle();
         let before = trio.bench.answer(key).cloned();
         assert!(before.is_some_and(|told| told != UNKNOWN), "{kind}: no answer with the hold");
         let mut cut_off = with_state();
         worsen(&mut cut_off);
-        cut_off.bench.ask(key, ask);
+        cut_off.bench.ask(key, request);
         for _ in 0..100 {
             cut_off.bench.tick(20);
             cut_off.bench.sync();
@@ -158,9 +158,9 @@
     trio.bench.ask(1, repeated("second", number()));
     trio.bench.sync();
     let late = trio.follower_responses();
-    trio.bench.ask(2, Ask::Submit(submission(&plan("v3", None, 1, "catalogue"))));
+    trio.bench.ask(2, Request::Submit(submission(&plan("v3", None, 1, "catalogue"))));
     trio.bench.ask(3, call(lock("b")));
-    trio.bench.ask(4, Ask::Ticket(ticket("t", 6)));
+    trio.bench.ask(4, Request::Ticket(ticket("t", 6)));
     assert_eq!(trio.bench.answer(2), None, "it waits for the number to be committed");
     trio.bench.now_ms += 20_000;
     trio.deliver(late);
@@ -176,7 +176,7 @@
     let mut trio = with_state();
     trio.bench.ask(1, repeated("second", number()));
     trio.bench.sync();
-    trio.bench.ask(2, Ask::Submit(submission(&plan("v3", Some("v2"), 1, "catalogue"))));
+    trio.bench.ask(2, Request::Submit(submission(&plan("v3", Some("v2"), 1, "catalogue"))));
     trio.bench.ask(3, call(lock("b")));
     trio.settle();
     assert_eq!(trio.bench.status(2), Some(409));
@@ -190,12 +190,12 @@
     let last = trio.bench.node.consensus().last();
     let asks = [
         repeated("new", number()),
-        Ask::Ticket(ticket("new", 9)),
+        Request::Ticket(ticket("new", 9)),
         settle(ticket("other", 10)),
-        Ask::Submit(submission(&plan("v2", Some("v1"), 1, "catalogue"))),
+        Request::Submit(submission(&plan("v2", Some("v1"), 1, "catalogue"))),
     ];
-    for (at, ask) in asks.into_iter().enumerate() {
-        trio.bench.ask(at as u64, ask);
+    for (at, request) in asks.into_iter().enumerate() {
+        trio.bench.ask(at as u64, request);
         assert_eq!(trio.bench.answer(at as u64), Some(&UNKNOWN), "question {at}");
     }
     assert_eq!(trio.bench.node.consensus().last(), last, "nothing was written");
--- a/crates/controller/tests/deltas.rs
+++ b/crates/controller/tests/deltas.rs
@@ -33,7 +33,7 @@
     let mut bench = Bench::serving();
     let mut first = submission(&text(1, waits_ms));
     first.base = None;
-    bench.ask(1, Ask::Submit(first));
+    bench.ask(1, Request::Submit(first));
     bench.settle();
     assert_eq!(bench.status(1), Some(200));
     bench
@@ -115,7 +115,7 @@
     waits_ms[5] = 7;
     let mut dry = submission(&text(2, &waits_ms));
     dry.dry_run = true;
-    bench.ask(2, Ask::Submit(dry));
+    bench.ask(2, Request::Submit(dry));
     bench.settle();
     assert_eq!(bench.status(2), Some(200));
     assert!(bench.state().has_plan_of(&before));
--- a/crates/controller/tests/duties.rs
+++ b/crates/controller/tests/duties.rs
@@ -6,13 +6,13 @@
 use postbarrow_messages::*;
 use postbarrow_state::*;
 
-fn settle(ticket: Ticket, settlement: Settlement) -> Ask {
-    Ask::Settle { ticket, settlement, response: None }
+fn settle(ticket: Ticket, settlement: Settlement) -> Request {
+    Request::Settle { ticket, settlement, response: None }
 }
 
 fn call(bench: &mut Bench, key: u64, call: Call) -> Response {
     let id = Some(Name::from(format!("id-{key}")));
-    bench.ask(key, Ask::Call { id, call });
+    bench.ask(key, Request::Call { id, call });
     bench.sync();
     bench.sync();
     bench.answer(key).cloned().unwrap_or(Response::TimedOut)
@@ -21,25 +21,25 @@
 #[test]
 fn a_key_is_granted_to_one_go_and_again_only_after_a_committed_unsent() {
     let mut bench = Bench::serving();
-    bench.ask(1, Ask::Ticket(ticket("k", 1)));
-    bench.ask(2, Ask::Ticket(ticket("k", 2)));
+    bench.ask(1, Request::Ticket(ticket("k", 1)));
+    bench.ask(2, Request::Ticket(ticket("k", 2)));
     assert_eq!(bench.answer(1), None, "nothing is said before the sync");
     bench.settle();
     assert_eq!(bench.answer(1), Some(&Response::Granted));
     assert!(matches!(bench.answer(2), Some(Response::Known(known)) if known.settled.is_none()));
-    bench.ask(3, Ask::Ticket(ticket("k", 1)));
+    bench.ask(3, Request::Ticket(ticket("k", 1)));
     bench.settle();
     assert_eq!(bench.answer(3), Some(&Response::Granted), "the same go asks again");
     let mut other = ticket("k", 4);
     other.digest = [2; 32];
-    bench.ask(4, Ask::Ticket(other));
+    bench.ask(4, Request::Ticket(other));
     bench.ask(5, settle(ticket("k", 1), Settlement::Unsent));
-    bench.ask(6, Ask::Ticket(ticket("k", 6)));
+    bench.ask(6, Request::Ticket(ticket("k", 6)));
     assert_eq!(bench.answer(6), None, "the unsent is not committed yet");
     bench.settle();
     assert_eq!(bench.answer(4), Some(&Response::OtherDigest));
     assert_eq!(bench.answer(6), Some(&Response::Granted));
-    bench.ask(7, Ask::Ticket(ticket("k", 1)));
+    bench.ask(7, Request::Ticket(ticket("k", 1)));
     bench.settle();
     assert!(matches!(bench.answer(7), Some(Response::Known(_))), "the old go came late");
 }
@@ -49,10 +49,10 @@
     let mut bench = Bench::serving();
     bench.ask(1, settle(ticket("k", 1), Settlement::Unsent));
     bench.settle();
-    bench.ask(2, Ask::Ticket(ticket("k", 1)));
+    bench.ask(2, Request::Ticket(ticket("k", 1)));
     bench.settle();
     assert!(matches!(bench.answer(2), Some(Response::Known(_))));
-    bench.ask(3, Ask::Ticket(ticket("k", 3)));
+    bench.ask(3, Request::Ticket(ticket("k", 3)));
     bench.settle();
     assert_eq!(bench.answer(3), Some(&Response::Granted));
 }
@@ -60,13 +60,13 @@
 #[test]
 fn a_settled_response_is_kept_and_forgotten_in_time() {
     let mut bench = Bench::serving();
-    bench.ask(1, Ask::Ticket(ticket("k", 1)));
+    bench.ask(1, Request::Ticket(ticket("k", 1)));
     bench.settle();
     let kept = Kept { status: 201, headers: Vec::new(), body: vec![9] };
     let response = Some(kept.clone());
-    bench.ask(2, Ask::Settle { ticket: ticket("k", 1), settlement: Settlement::Ran, response });
+    bench.ask(2, Request::Settle { ticket: ticket("k", 1), settlement: Settlement::Ran, response });
     bench.settle();
-    bench.ask(3, Ask::Ticket(ticket("k", 3)));
+    bench.ask(3, Request::Ticket(ticket("k", 3)));
     bench.settle();
     let Some(Response::Known(known)) = bench.answer(3) else { panic!("not known") };
     assert_eq!(known.response.as_deref(), Some(&kept));
@@ -80,7 +80,7 @@
 #[test]
 fn what_a_node_that_is_gone_left_open_is_unknown() {
     let mut bench = Bench::serving();
-    bench.ask(1, Ask::Ticket(ticket("k", 1)));
+    bench.ask(1, Request::Ticket(ticket("k", 1)));
     bench.settle();
     for _ in 0..NODE_GONE_MS / 20 + 20 {
         bench.tick(20);
@@ -88,7 +88,7 @@
     }
     assert!(bench.state().nodes.is_empty());
     assert_eq!(bench.state().tickets["k"].settled, Some(Settlement::Unknown));
-    bench.ask(2, Ask::Ticket(ticket("k2", 2)));
+    bench.ask(2, Request::Ticket(ticket("k2", 2)));
     assert!(matches!(bench.answer(2), Some(Response::Refused(_))), "an unknown node gets none");
 }
 
@@ -209,7 +209,7 @@
 fn a_watch_is_told_all_in_order_for_twenty_seconds_and_then_too_old() {
     let mut bench = Bench::serving();
     let watch = |after| Call::Watch { sort: Sort::Key, prefix: "k".into(), after: Some(after) };
-    bench.ask(1, Ask::Call { id: None, call: watch(0) });
+    bench.ask(1, Request::Call { id: None, call: watch(0) });
     assert_eq!(bench.answer(1), None, "there is nothing to tell yet");
     for key in 2..6 {
         let name = if key == 4 { "other" } else { "k" };
--- a/crates/controller/tests/list.rs
+++ b/crates/controller/tests/list.rs
@@ -5,7 +5,7 @@
 use postbarrow_constants::nodes::*;
 use postbarrow_constants::plans::*;
 use postbarrow_controller::{Fetched, Input, PageResult};
-use postbarrow_messages::{Ask, Response};
+use postbarrow_messages::{Request, Response};
 
 /// Answers the page asked for by this cursor, whichever was asked first.
 fn answer(bench: &mut Bench, cursor: Option<&str>, rows: &[&str], next: Option<&str>) {
@@ -137,7 +137,7 @@
         bench.fetches.clear();
     }
     assert_eq!(known(&bench), 6);
-    bench.ask(1, Ask::Targets);
+    bench.ask(1, Request::Targets);
     let Some(Response::Operator { body, .. }) = bench.answer(1) else { panic!("no targets") };
     assert!(String::from_utf8_lossy(body).contains("its cursors go round"));
 }
@@ -146,7 +146,7 @@
 fn a_list_too_slow_for_the_bound_says_so() {
     let mut bench = listed();
     walk(&mut bench, &[&["l1", "l2"], &["l3", "l4"], &["l5", "l6"]]);
-    bench.ask(1, Ask::Targets);
+    bench.ask(1, Request::Targets);
     let bound = |bench: &Bench, key| {
         let Some(Response::Operator { body, .. }) = bench.answer(key) else { panic!("no targets") };
         let text = String::from_utf8_lossy(body).into_owned();
@@ -164,7 +164,7 @@
         }
         bench.fetches.clear();
     }
-    bench.ask(2, Ask::Targets);
+    bench.ask(2, Request::Targets);
     assert!(bound(&bench, 2) > LEAVE_BOUND_MS);
 }
 
--- a/crates/controller/tests/orders.rs
+++ b/crates/controller/tests/orders.rs
@@ -194,7 +194,7 @@
 fn a_dry_run_takes_nothing_and_the_same_order_is_taken_after_it() {
     let mut bench = Bench::serving();
     let text = plan("v1", None, 1, "catalogue");
-    bench.ask(1, Ask::Submit(Submission { dry_run: true, ..submission(&text) }));
+    bench.ask(1, Request::Submit(Submission { dry_run: true, ..submission(&text) }));
     bench.settle();
     assert!(bench.state().taken_plans.is_empty());
     bench.submit(2, &text);
--- a/crates/controller/tests/space.rs
+++ b/crates/controller/tests/space.rs
@@ -4,7 +4,7 @@
 use bench::*;
 use postbarrow_consensus::{Recovered, Snapshot};
 use postbarrow_constants::coordination::*;
-use postbarrow_messages::{Ask, Response};
+use postbarrow_messages::{Request, Response};
 use postbarrow_state::*;
 use std::sync::Arc;
 
@@ -20,8 +20,8 @@
     bench
 }
 
-fn ran(key: &str, response: Option<Kept>) -> Ask {
-    Ask::Settle { ticket: ticket(key, 1), settlement: Settlement::Ran, response }
+fn ran(key: &str, response: Option<Kept>) -> Request {
+    Request::Settle { ticket: ticket(key, 1), settlement: Settlement::Ran, response }
 }
 
 fn kept(bytes: usize) -> Kept {
@@ -31,7 +31,7 @@
 #[test]
 fn a_key_lasts_its_time_over_changes_of_controller_and_no_longer_than_it_must() {
     let mut bench = Bench::serving();
-    bench.ask(1, Ask::Ticket(ticket("k", 1)));
+    bench.ask(1, Request::Ticket(ticket("k", 1)));
     bench.settle();
     bench.ask(2, ran("k", None));
     bench.settle();
@@ -66,13 +66,13 @@
         state.tickets.insert(key, Arc::new(known));
     }
     let mut bench = from_state(state);
-    bench.ask(1, Ask::Ticket(ticket("new", 1)));
-    bench.ask(2, Ask::Ticket(ticket("old-7", 3)));
+    bench.ask(1, Request::Ticket(ticket("new", 1)));
+    bench.ask(2, Request::Ticket(ticket("old-7", 3)));
     bench.settle();
     assert_eq!(bench.answer(1), Some(&Response::Full));
     assert!(matches!(bench.answer(2), Some(Response::Known(_))), "{:?}", bench.answer(2));
     assert_eq!(bench.state().tickets.len(), TICKETS, "none was dropped before its time");
-    bench.ask(3, Ask::Status);
+    bench.ask(3, Request::Status);
     let Some(Response::Operator { body, .. }) = bench.answer(3) else { panic!("no status") };
     assert!(String::from_utf8_lossy(body).contains("\"shed\":1"), "it is seen in status");
 }
@@ -82,7 +82,7 @@
     let state = State { kept_bytes: KEPT_BYTES - 1_500, ..State::default() };
     let mut bench = from_state(state);
     for (at, key) in ["a", "b"].into_iter().enumerate() {
-        bench.ask(at as u64, Ask::Ticket(ticket(key, 1)));
+        bench.ask(at as u64, Request::Ticket(ticket(key, 1)));
         bench.settle();
         bench.ask(10 + at as u64, ran(key, Some(kept(1_000))));
         bench.settle();
@@ -96,7 +96,7 @@
 #[test]
 fn forgotten_responses_give_their_bytes_back() {
     let mut bench = Bench::serving();
-    bench.ask(1, Ask::Ticket(ticket("k", 1)));
+    bench.ask(1, Request::Ticket(ticket("k", 1)));
     bench.ask(2, ran("k", Some(kept(700))));
     bench.ask(3, ran("k", Some(kept(700))));
     bench.settle();
@@ -116,9 +116,9 @@
     }
     let mut bench = from_state(state);
     let next = Call::Next { name: "n".into(), by: 1 };
-    bench.ask(1, Ask::Call { id: Some("new".into()), call: next.clone() });
-    bench.ask(2, Ask::Call { id: Some("r3".into()), call: next });
-    bench.ask(3, Ask::Call { id: None, call: Call::ReadNumber { name: "n".into() } });
+    bench.ask(1, Request::Call { id: Some("new".into()), call: next.clone() });
+    bench.ask(2, Request::Call { id: Some("r3".into()), call: next });
+    bench.ask(3, Request::Call { id: None, call: Call::ReadNumber { name: "n".into() } });
     bench.settle();
     assert_eq!(bench.answer(1), Some(&Response::Full));
     assert_eq!(bench.answer(2), Some(&Response::Outcome(Outcome::Freed)), "known ones are told");
@@ -129,7 +129,7 @@
 fn a_remembered_call_is_forgotten_in_time_however_often_controllers_change() {
     let mut bench = Bench::serving();
     let call = Call::Next { name: "n".into(), by: 1 };
-    bench.ask(1, Ask::Call { id: Some("once".into()), call });
+    bench.ask(1, Request::Call { id: Some("once".into()), call });
     bench.settle();
     let mut passed_ms = 0;
     while bench.state().repeats.contains_key("once") {
--- a/crates/controller/tests/strangers.rs
+++ b/crates/controller/tests/strangers.rs
@@ -66,7 +66,7 @@
     let mut bench = Bench::serving();
     let mut ask = |key: u64, call: Call, pass_ms: u64| {
         (0..pass_ms / 20).for_each(|_| bench.tick(20));
-        bench.ask(key, Ask::Call { id: None, call });
+        bench.ask(key, Request::Call { id: None, call });
         bench.settle();
         let locks = bench.node.committed().locks.clone();
         let said = bench.responses.iter().rev().find(|(known, _)| *known == key);
--- a/crates/controller/tests/transactions.rs
+++ b/crates/controller/tests/transactions.rs
@@ -43,7 +43,7 @@
 fn one_open_too_long_is_aborted_and_what_waited_goes_on() {
     let mut bench = Bench::serving();
     bench.submit(1, &plan("v1", None, 6_000, "catalogue"));
-    bench.ask(2, Ask::Ticket(ticket("k", 1)));
+    bench.ask(2, Request::Ticket(ticket("k", 1)));
     let before = bench.lines.len();
     for _ in 0..TRANSACTION_OPEN_MS / 20 - 1 {
         bench.tick(20);
@@ -66,7 +66,7 @@
     let mut bench = Bench::serving();
     let mut huge = submission(&plan("v1", None, 1, "catalogue"));
     huge.records.extend((0..600).map(|_| Record::PlanText(vec![32; 16 * 1024])));
-    bench.ask(1, Ask::Submit(huge));
+    bench.ask(1, Request::Submit(huge));
     bench.settle();
     assert_eq!(bench.status(1), Some(413));
     assert!(markers(&bench)[1].contains("over the bound"));
@@ -105,7 +105,7 @@
     bench.submit(1, &plan("v1", None, 1, "catalogue"));
     bench.settle();
     bench.submit(2, &plan("v2", Some("v1"), 6_000, "catalogue"));
-    bench.ask(3, Ask::Ticket(ticket("k", 1)));
+    bench.ask(3, Request::Ticket(ticket("k", 1)));
     bench.is_deposed_by(Record::Number { name: "n".into(), value: 4 });
     assert!(!bench.node.is_leading());
     assert_eq!(bench.answer(2), Some(&Response::Lost));
@@ -137,7 +137,7 @@
     bench.submit(1, &plan("v1", None, 1, "nobody"));
     let mut dry = submission(&plan("v1", None, 1, "catalogue"));
     dry.dry_run = true;
-    bench.ask(2, Ask::Submit(dry));
+    bench.ask(2, Request::Submit(dry));
     bench.settle();
     assert_eq!((bench.status(1), bench.status(2)), (Some(422), Some(200)));
     let Some(Response::Operator { body, .. }) = bench.answer(2) else { panic!("no answer") };
@@ -147,7 +147,7 @@
     assert_eq!(bench.state().plan_version(), None);
     let mut empty = submission(&plan("v1", None, 1, "nobody"));
     empty.allow_empty = true;
-    bench.ask(3, Ask::Submit(empty));
+    bench.ask(3, Request::Submit(empty));
     bench.settle();
     assert_eq!(bench.status(3), Some(200));
     assert_eq!(bench.state().plan_version(), Some("v1"));
@@ -157,7 +157,7 @@
 fn a_repeat_of_a_waiting_question_is_told_that_it_was_dropped_and_the_first_is_done_once() {
     let mut bench = Bench::serving();
     let text = plan("v1", None, 6_000, "catalogue");
-    let next = || Ask::Call { id: None, call: Call::Next { name: "n".into(), by: 1 } };
+    let next = || Request::Call { id: None, call: Call::Next { name: "n".into(), by: 1 } };
     bench.submit(1, &text);
     bench.ask(2, next());
     assert_eq!(bench.answer(2), None, "it waits for the open plan");
--- a/crates/controller/tests/trio/mod.rs
+++ b/crates/controller/tests/trio/mod.rs
@@ -94,8 +94,10 @@
 
 fn follower_says(message: LogMessage) -> Option<LogMessage> {
     Some(match message {
-        LogMessage::PreVote(ask) => LogMessage::PreVoteResponse { term: ask.term, granted: true },
-        LogMessage::Vote(ask) => LogMessage::VoteResponse { term: ask.term, granted: true },
+        LogMessage::PreVote(request) => {
+            LogMessage::PreVoteResponse { term: request.term, granted: true }
+        }
+        LogMessage::Vote(request) => LogMessage::VoteResponse { term: request.term, granted: true },
         LogMessage::Append(append) => LogMessage::AppendResponse(AppendResponse {
             term: append.term,
             matched: Some(append.prev + append.entries.len() as u64),
--- a/crates/messages/src/lib.rs
+++ b/crates/messages/src/lib.rs
@@ -1,12 +1,12 @@
 //! What postbarrow's processes say to each other, and how it is framed.
 
-mod asks;
 mod frame;
 mod image;
+mod request;
 
-pub use asks::*;
 pub use frame::{FrameError, read_frame, to_frame};
 pub use image::EncodedImage;
+pub use request::*;
 
 use postbarrow_consensus as consensus;
 use postbarrow_consensus::{Member, MemberId};
@@ -26,19 +26,43 @@
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Message {
-    Consensus { from: Member, to: MemberId, message: consensus::Message },
+    Consensus {
+        from: Member,
+        to: MemberId,
+        message: consensus::Message,
+    },
     Greet(Greet),
     Form(Vec<Member>),
     Introduce,
-    Introduction { control: Vec<SocketAddr>, formed: bool },
+    Introduction {
+        control: Vec<SocketAddr>,
+        formed: bool,
+    },
     Fresh(FreshAsk),
-    FreshResponse { number: u64, fresh: Fresh },
-    Tail { after: u64 },
-    News { entries: Vec<NewsEntry> },
+    FreshResponse {
+        number: u64,
+        fresh: Fresh,
+    },
+    Tail {
+        after: u64,
+    },
+    News {
+        entries: Vec<NewsEntry>,
+    },
     Image(ImageFrame),
-    Beat { node: Incarnation },
-    Ask { key: u64, ask: Ask },
-    Response { key: u64, response: Response },
+    Beat {
+        node: Incarnation,
+    },
+    /// Goes by its first name on the wire, so that releases understand each other.
+    #[serde(rename = "Ask")]
+    Request {
+        key: u64,
+        request: Request,
+    },
+    Response {
+        key: u64,
+        response: Response,
+    },
 }
 
 /// A control node with an empty disk, or outside the members, speaks up.
--- a/crates/messages/src/asks.rs
+++ b/crates/messages/src/request.rs
@@ -1,10 +1,12 @@
+//! Requests to the controller and its responses.
+
 use postbarrow_state::{Call, Kept, Name, Outcome, Record, Sample, Settlement, Ticket};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// A question to the controller; each may be sent again until it is answered.
+/// A request to the controller; each may be sent again until it is answered.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum Ask {
+pub enum Request {
     Ticket(Ticket),
     Settle {
         ticket: Ticket,
@@ -20,7 +22,7 @@
     Targets,
     Members,
     Status,
-    /// Recent asks, as nodes told of them.
+    /// Recent client requests, as data nodes reported them.
     Recent,
 }
 
@@ -34,6 +36,7 @@
     pub allow_empty: bool,
 }
 
+/// What the controller answers, or what its client concludes where nobody does.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Response {
     Granted,
@@ -64,13 +67,13 @@
     NotController {
         controller: Option<SocketAddr>,
     },
-    /// An earlier copy of the same question waits here; this one is dropped without effect.
+    /// An earlier copy of the same request waits here; this one is dropped without effect.
     Waiting,
     /// The controller lost its place meanwhile: the end is unknown.
     Lost,
     /// Nobody answered in time: the end is unknown.
     TimedOut,
-    /// Nobody who could have taken the question was ever sent it: it did nothing, and never will.
+    /// Nobody who could have taken the request was ever sent it: it did nothing, and never will.
     Unavailable,
 }
 
--- a/crates/node/src/fresh.rs
+++ b/crates/node/src/fresh.rs
@@ -80,7 +80,7 @@
         }
         if now_ms > self.fresh.granted_ms + FRESH_WAIT_MS {
             self.fresh.controller = None;
-            self.desk.doubt();
+            self.controller_client.doubt();
         }
         let seeks = self.fresh.controller.is_none();
         self.fresh.due_ms = now_ms + if seeks { FRESH_SEEK_MS } else { FRESH_MS };
@@ -104,7 +104,7 @@
         self.fresh.number += 1;
         let number = self.fresh.number;
         self.fresh.sent_ms.insert(number, now_ms);
-        let ask = FreshAsk {
+        let request = FreshAsk {
             number,
             node: self.own.clone(),
             published: self.published,
@@ -116,7 +116,7 @@
             seen: std::mem::take(&mut self.seen),
         };
         for address in to {
-            self.send(address, Message::Fresh(ask.clone()));
+            self.send(address, Message::Fresh(request.clone()));
         }
     }
 
@@ -153,7 +153,7 @@
                 if newer {
                     self.fresh.grants.push_back(Grant { sent_ms, watermark });
                 }
-                self.desk.learn(now_ms, Some(from), &self.fresh.members);
+                self.controller_client.learn(now_ms, Some(from), &self.fresh.members);
                 self.announce_lease();
             }
             Fresh::NotController { controller, members } => {
@@ -163,7 +163,7 @@
                 if self.fresh.controller == Some(from) {
                     self.fresh.controller = controller;
                 }
-                self.desk.learn(now_ms, None, &self.fresh.members);
+                self.controller_client.learn(now_ms, None, &self.fresh.members);
             }
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,9 +13,9 @@
 use fresh::FreshBook;
 use postbarrow_constants::nodes::*;
 use postbarrow_constants::plans::SAMPLES_TOLD;
-use postbarrow_desk::{Desk, Effect as DeskEffect};
+use postbarrow_controller_client::{ControllerClient, Effect as ClientEffect};
 use postbarrow_membership::{Relay, Watch};
-use postbarrow_messages::{Ask, EncodedImage, Envelope, Message};
+use postbarrow_messages::{EncodedImage, Envelope, Message, Request};
 use postbarrow_state::{Incarnation, Name, Node, Sample, State};
 use postbarrow_transactions::Tail;
 use std::collections::BTreeMap;
@@ -25,9 +25,9 @@
 pub enum Input {
     Tick,
     Receive(Envelope),
-    Ask {
+    Request {
         key: u64,
-        ask: Ask,
+        request: Request,
         wait_ms: u64,
     },
     Probed {
@@ -75,7 +75,7 @@
     relay: Relay,
     encoded: EncodedImage,
     watch: Watch,
-    desk: Desk,
+    controller_client: ControllerClient,
     fresh: FreshBook,
     failures: BTreeMap<Name, u32>,
     direct_until_ms: u64,
@@ -100,7 +100,7 @@
             relay: Relay::default(),
             encoded: EncodedImage::default(),
             watch: Watch::default(),
-            desk: Desk::default(),
+            controller_client: ControllerClient::default(),
             fresh: FreshBook::new(now_ms),
             failures: BTreeMap::new(),
             direct_until_ms: 0,
@@ -124,8 +124,8 @@
         match input {
             Input::Tick => self.tick(now_ms),
             Input::Receive(envelope) => self.receive(now_ms, envelope),
-            Input::Ask { key, ask, wait_ms } => {
-                let effects = self.desk.ask(now_ms, key, ask, wait_ms);
+            Input::Request { key, request, wait_ms } => {
+                let effects = self.controller_client.ask(now_ms, key, request, wait_ms);
                 self.absorb(effects);
             }
             Input::Probed { instance, sound } => self.on_probed(instance, sound),
@@ -164,13 +164,13 @@
             Message::Image(frame) => self.on_image(now_ms, frame),
             Message::Beat { node } => self.watch.heard(now_ms, node),
             Message::Response { key, response } => {
-                let effects = self.desk.on_response(now_ms, key, response);
+                let effects = self.controller_client.on_response(now_ms, key, response);
                 self.absorb(effects);
             }
             Message::Consensus { .. }
             | Message::Form(_)
             | Message::Fresh(_)
-            | Message::Ask { .. } => {}
+            | Message::Request { .. } => {}
         }
     }
 
@@ -179,7 +179,7 @@
         self.say_serves(now_ms);
         self.tail_tick(now_ms);
         self.ring_tick(now_ms);
-        let effects = self.desk.tick(now_ms);
+        let effects = self.controller_client.tick(now_ms);
         self.absorb(effects);
     }
 
@@ -210,11 +210,11 @@
         failing.map(|(instance, _)| instance.clone()).collect()
     }
 
-    fn absorb(&mut self, effects: Vec<DeskEffect>) {
+    fn absorb(&mut self, effects: Vec<ClientEffect>) {
         for effect in effects {
             self.effects.push(match effect {
-                DeskEffect::Send { to, message } => Effect::Send { to, message },
-                DeskEffect::Answer { key, response } => Effect::Answer { key, response },
+                ClientEffect::Send { to, message } => Effect::Send { to, message },
+                ClientEffect::Answer { key, response } => Effect::Answer { key, response },
             });
         }
     }
@@ -239,6 +239,6 @@
         &self.own
     }
     pub fn open_asks(&self) -> usize {
-        self.desk.open()
+        self.controller_client.open()
     }
 }
--- a/crates/node/tests/hold.rs
+++ b/crates/node/tests/hold.rs
@@ -35,8 +35,8 @@
     fn input(&mut self, input: Input) {
         for effect in self.node.handle(self.now_ms, input) {
             match effect {
-                Effect::Send { to, message: Message::Fresh(ask) } => {
-                    self.asked.push((ask.number, self.now_ms));
+                Effect::Send { to, message: Message::Fresh(request) } => {
+                    self.asked.push((request.number, self.now_ms));
                     self.asked_at.push(to);
                 }
                 Effect::Send { to, message: Message::Tail { after } } => {
--- a/crates/simulation/src/asks.rs
+++ b/crates/simulation/src/asks.rs
@@ -3,7 +3,7 @@
 use crate::event::{Event, Who};
 use crate::world::World;
 use postbarrow_constants::coordination::SETTLE_WAIT_MS;
-use postbarrow_messages::Ask;
+use postbarrow_messages::Request;
 use postbarrow_node::*;
 use postbarrow_routing::{Found, Load};
 use postbarrow_state::{Name, Target};
@@ -164,11 +164,11 @@
                 self.connect(ask, data, &target);
             }
             Step::AskTicket { ticket, wait_ms } => {
-                self.ask_controller(data, Ask::Ticket(ticket), wait_ms, Waits::Ask(ask))
+                self.ask_controller(data, Request::Ticket(ticket), wait_ms, Waits::Request(ask))
             }
             Step::Settle { ticket, settlement, response, wait_ms } => {
-                let settle = Ask::Settle { ticket, settlement, response };
-                self.ask_controller(data, settle, wait_ms, Waits::Ask(ask));
+                let settle = Request::Settle { ticket, settlement, response };
+                self.ask_controller(data, settle, wait_ms, Waits::Request(ask));
             }
             Step::Pass { until_ms, .. } => {
                 let life = self.data[data].life;
@@ -176,7 +176,7 @@
             }
             Step::Done { verdict, settle } => {
                 if let Some((ticket, settlement, response)) = settle {
-                    let settle = Ask::Settle { ticket, settlement, response };
+                    let settle = Request::Settle { ticket, settlement, response };
                     self.ask_controller(data, settle, SETTLE_WAIT_MS, Waits::Nobody);
                 }
                 self.end_ask(ask, verdict);
--- a/crates/simulation/src/calls.rs
+++ b/crates/simulation/src/calls.rs
@@ -1,7 +1,7 @@
 use crate::data::Waits;
 use crate::event::Event;
 use crate::world::World;
-use postbarrow_messages::{Ask, Response};
+use postbarrow_messages::{Request, Response};
 use postbarrow_state::{Call, Change, Name, Outcome, Sort};
 use std::collections::BTreeMap;
 
@@ -132,7 +132,7 @@
         let id = Some(Name::from(format!("call-{number}")));
         self.ask_controller(
             node,
-            Ask::Call { id, call },
+            Request::Call { id, call },
             WAIT_MS,
             Waits::Caller { caller, number },
         );
--- a/crates/simulation/src/cling.rs
+++ b/crates/simulation/src/cling.rs
@@ -5,8 +5,8 @@
 use crate::orders::Order;
 use crate::world::World;
 use postbarrow_controller::{Contact, Input};
-use postbarrow_desk::{Desk, Effect};
-use postbarrow_messages::{Ask, Envelope, Response, Submission};
+use postbarrow_controller_client::{ControllerClient, Effect};
+use postbarrow_messages::{Envelope, Request, Response, Submission};
 use postbarrow_plan::Plan;
 use postbarrow_state::{Call, Name};
 use std::collections::BTreeMap;
@@ -50,7 +50,7 @@
     pub numbers_unclear: usize,
     pub orders: usize,
     life: u64,
-    desk: Desk,
+    controller_client: ControllerClient,
     open: BTreeMap<u64, Asked>,
     key: u64,
     pub order: Option<(u64, Handed)>,
@@ -68,7 +68,7 @@
             numbers_unclear: 0,
             orders: 0,
             life,
-            desk: Desk::default(),
+            controller_client: ControllerClient::default(),
             open: BTreeMap::new(),
             key: 0,
             order: None,
@@ -149,16 +149,16 @@
         }
         self.door_life(at);
         let ask = match &question {
-            Question::Show => Ask::Show,
-            Question::Order(handed) => Ask::Submit(submission(handed)),
+            Question::Show => Request::Show,
+            Question::Order(handed) => Request::Submit(submission(handed)),
             Question::Call(call) => {
-                Ask::Call { id: Some(Name::from(format!("cling-{key}"))), call: call.clone() }
+                Request::Call { id: Some(Name::from(format!("cling-{key}"))), call: call.clone() }
             }
         };
         let now_ms = self.local_ms(Who::Control(at));
         let Some(cling) = &mut self.cling else { return };
         cling.open.insert(key, Asked { start_us: asked_us, question });
-        let effects = cling.desk.ask(now_ms, key, ask, WAIT_MS);
+        let effects = cling.controller_client.ask(now_ms, key, ask, WAIT_MS);
         self.door_does(at, effects);
     }
 
@@ -170,7 +170,7 @@
             return;
         }
         cling.life = life;
-        cling.desk = Desk::default();
+        cling.controller_client = ControllerClient::default();
         for asked in std::mem::take(&mut cling.open).into_values() {
             cling.numbers_unclear += usize::from(is_own_number(&asked.question));
         }
@@ -187,11 +187,13 @@
         let log = node.consensus();
         let members: Vec<_> = log.members().iter().map(|member| member.address).collect();
         match node.contact(now_ms) {
-            Contact::Outside => cling.desk.learn(now_ms, None, &members),
-            Contact::Leader(leader) => cling.desk.learn(now_ms, Some(leader), &members),
-            Contact::Silent { since_ms } => cling.desk.hears_no_leader(since_ms),
+            Contact::Outside => cling.controller_client.learn(now_ms, None, &members),
+            Contact::Leader(leader) => {
+                cling.controller_client.learn(now_ms, Some(leader), &members)
+            }
+            Contact::Silent { since_ms } => cling.controller_client.hears_no_leader(since_ms),
         }
-        let effects = cling.desk.tick(now_ms);
+        let effects = cling.controller_client.tick(now_ms);
         self.door_does(at, effects);
     }
 
@@ -199,7 +201,7 @@
     pub fn door_hears(&mut self, at: usize, key: u64, response: Response) {
         let now_ms = self.local_ms(Who::Control(at));
         let Some(cling) = self.cling.as_mut().filter(|cling| cling.at == at) else { return };
-        let effects = cling.desk.on_response(now_ms, key, response);
+        let effects = cling.controller_client.on_response(now_ms, key, response);
         self.door_does(at, effects);
     }
 
--- a/crates/simulation/src/data.rs
+++ b/crates/simulation/src/data.rs
@@ -9,7 +9,7 @@
 
 #[derive(Clone, Copy, Debug)]
 pub enum Waits {
-    Ask(u64),
+    Request(u64),
     Caller { caller: usize, number: u64 },
     Nobody,
 }
@@ -122,7 +122,7 @@
                 Effect::Say(text) => self.say(Who::Data(at), &text),
                 Effect::Answer { key, response } => {
                     match self.data[at].waits.remove(&key).unwrap_or(Waits::Nobody) {
-                        Waits::Ask(ask) => {
+                        Waits::Request(ask) => {
                             let event = postbarrow_node::Event::Answered(response);
                             let life = self.data[at].life;
                             self.after(0, Event::Go { ask, data: at, life, event });
@@ -140,7 +140,7 @@
     pub fn ask_controller(
         &mut self,
         at: usize,
-        ask: postbarrow_messages::Ask,
+        ask: postbarrow_messages::Request,
         wait_ms: u64,
         waits: Waits,
     ) {
@@ -148,7 +148,7 @@
         machine.number += 1;
         let key = machine.number;
         machine.waits.insert(key, waits);
-        self.data_input(at, Input::Ask { key, ask, wait_ms });
+        self.data_input(at, Input::Request { key, request: ask, wait_ms });
     }
 
     pub fn probe(&mut self, at: usize, life: u64) {
--- a/crates/simulation/src/operator.rs
+++ b/crates/simulation/src/operator.rs
@@ -1,8 +1,8 @@
 use crate::event::Event;
 use crate::orders::Order;
 use crate::world::World;
-use postbarrow_desk::{Desk, Effect};
-use postbarrow_messages::{Ask, Envelope, Message, Response, Submission};
+use postbarrow_controller_client::{ControllerClient, Effect};
+use postbarrow_messages::{Envelope, Message, Request, Response, Submission};
 use postbarrow_plan::Plan;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -34,7 +34,7 @@
     /// Texts of plans of which nobody knows yet whether they are in force.
     pub unsure: BTreeSet<String>,
     pub texts: BTreeMap<String, String>,
-    desk: Desk,
+    controller_client: ControllerClient,
     handed: BTreeMap<u64, Handed>,
     key: u64,
     pub number: u64,
@@ -61,7 +61,7 @@
             shown: None,
             unsure: BTreeSet::new(),
             texts: BTreeMap::new(),
-            desk: Desk::default(),
+            controller_client: ControllerClient::default(),
             handed: BTreeMap::new(),
             key: 0,
             number: 0,
@@ -106,8 +106,8 @@
     pub fn operate(&mut self) {
         let now_ms = self.now_us / 1_000;
         let members: Vec<SocketAddr> = self.control.iter().map(|machine| machine.address).collect();
-        self.operator.desk.learn(now_ms, None, &members);
-        let effects = self.operator.desk.tick(now_ms);
+        self.operator.controller_client.learn(now_ms, None, &members);
+        let effects = self.operator.controller_client.tick(now_ms);
         self.operator_does(effects);
         let clung = self.cling.is_some();
         let waits = self.cling.as_ref().is_some_and(|cling| cling.has_order());
@@ -187,7 +187,7 @@
 
     /// By another member than the one that answers now.
     fn submit_elsewhere(&mut self, handed: Handed) {
-        self.operator.desk.doubt();
+        self.operator.controller_client.doubt();
         self.submit(handed);
     }
 
@@ -207,23 +207,24 @@
             self.operator.unsure.insert(order.text.clone());
         }
         self.operator.handed.insert(key, handed);
-        self.operator_asks(key, Ask::Submit(submission));
+        self.operator_asks(key, Request::Submit(submission));
     }
 
     pub fn show(&mut self) {
         self.operator.key += 1;
         let key = self.operator.key;
-        self.operator_asks(key, Ask::Show);
+        self.operator_asks(key, Request::Show);
     }
 
-    fn operator_asks(&mut self, key: u64, ask: Ask) {
-        let effects = self.operator.desk.ask(self.now_us / 1_000, key, ask, WAIT_MS);
+    fn operator_asks(&mut self, key: u64, ask: Request) {
+        let effects = self.operator.controller_client.ask(self.now_us / 1_000, key, ask, WAIT_MS);
         self.operator_does(effects);
     }
 
     pub fn operator_hears(&mut self, envelope: Envelope) {
         if let Message::Response { key, response } = envelope.message {
-            let effects = self.operator.desk.on_response(self.now_us / 1_000, key, response);
+            let effects =
+                self.operator.controller_client.on_response(self.now_us / 1_000, key, response);
             self.operator_does(effects);
         }
     }
--- a/crates/simulation/src/search/forwarded.rs
+++ b/crates/simulation/src/search/forwarded.rs
@@ -1,18 +1,18 @@
-//! Model of calls forwarded to the controller: real desks at two members, over a modelled log.
+//! Model of calls forwarded to the controller: real clients at two members, over a modelled log.
 
 use super::Model;
 use super::forwarded_log::{Entry, Member, Origin, Write, elsewhere};
-use super::forwarded_state::{ForwardedState, Progress, Way, address, new_desk};
+use super::forwarded_state::{ForwardedState, Progress, Way, address, new_client};
 use postbarrow_constants::coordination::{ASK_AGAIN_MS, ASK_CONTROLLER_MS};
-use postbarrow_desk::Effect;
-use postbarrow_messages::{Ask, Message};
+use postbarrow_controller_client::Effect;
+use postbarrow_messages::{Message, Request};
 use postbarrow_state::{Call, Name, Record};
 use postbarrow_transport::Slab;
 
-/// One caller's call, at the desk of one member.
+/// One caller's call, at the client of one member.
 #[derive(Clone, Debug)]
 pub struct Question {
-    pub desk: usize,
+    pub client: usize,
     /// Which life of that member's process.
     pub life: u64,
     pub id: Option<Name>,
@@ -31,7 +31,7 @@
     pub full: bool,
     /// Messages that may be lost.
     pub losses: u8,
-    /// Times that desks look whether to send again.
+    /// Times that clients look whether to send again.
     pub ticks: u8,
     /// The second member may take the lead.
     pub elects: bool,
@@ -43,7 +43,7 @@
     Asks(usize),
     Arrives(usize),
     IsLost(usize),
-    /// Time for desks to send again.
+    /// Time for clients to send again.
     Ticks,
     /// The time of every open call is over.
     TimesOut,
@@ -66,23 +66,23 @@
         Slab::new(self.questions[question].life).insert(())
     }
 
-    fn question_of(&self, state: &ForwardedState, desk: usize, key: u64) -> Option<usize> {
+    fn question_of(&self, state: &ForwardedState, client: usize, key: u64) -> Option<usize> {
         (0..self.questions.len()).find(|at| {
             let question = &self.questions[*at];
             let open = matches!(state.progress[*at], Progress::Open { .. });
-            question.desk == desk && open && self.key(*at) == key
+            question.client == client && open && self.key(*at) == key
         })
     }
 
-    fn absorb(&self, state: &mut ForwardedState, desk: usize, effects: Vec<Effect>) {
+    fn absorb(&self, state: &mut ForwardedState, client: usize, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
-                Effect::Send { to, message: Message::Ask { key, ask } } => {
+                Effect::Send { to, message: Message::Request { key, request } } => {
                     let to = usize::from(to == address(1));
-                    state.ways.push(Way::Question { to, origin: Origin { desk, key }, ask });
+                    state.ways.push(Way::Question { to, origin: Origin { client, key }, request });
                 }
                 Effect::Answer { key, response } => {
-                    if let Some(at) = self.question_of(state, desk, key)
+                    if let Some(at) = self.question_of(state, client, key)
                         && let Progress::Open { number } = state.progress[at]
                     {
                         state.progress[at] = Progress::Heard { number, response };
@@ -94,29 +94,30 @@
     }
 
     fn asks(&self, state: &mut ForwardedState, at: usize) {
-        let Question { desk, id, call, .. } = self.questions[at].clone();
+        let Question { client, id, call, .. } = self.questions[at].clone();
         state.progress[at] = Progress::Open { number: state.number() };
-        let ask = Ask::Call { id, call };
-        let effects = state.desks[desk].ask(state.now_ms, self.key(at), ask, ASK_CONTROLLER_MS);
-        self.absorb(state, desk, effects);
+        let request = Request::Call { id, call };
+        let effects =
+            state.clients[client].ask(state.now_ms, self.key(at), request, ASK_CONTROLLER_MS);
+        self.absorb(state, client, effects);
     }
 
     fn ticks(&self, state: &mut ForwardedState) {
-        for desk in 0..state.desks.len() {
-            let effects = state.desks[desk].tick(state.now_ms);
-            self.absorb(state, desk, effects);
+        for client in 0..state.clients.len() {
+            let effects = state.clients[client].tick(state.now_ms);
+            self.absorb(state, client, effects);
         }
     }
 
     fn arrives(&self, state: &mut ForwardedState, at: usize) {
         match state.ways.remove(at) {
             Way::Answer { origin, response } => {
-                let desk = &mut state.desks[origin.desk];
-                let effects = desk.on_response(state.now_ms, origin.key, response);
-                self.absorb(state, origin.desk, effects);
+                let client = &mut state.clients[origin.client];
+                let effects = client.on_response(state.now_ms, origin.key, response);
+                self.absorb(state, origin.client, effects);
             }
-            Way::Question { to, origin, ask } if state.members[to].leads => {
-                let Ask::Call { id, call } = ask else { return };
+            Way::Question { to, origin, request } if state.members[to].leads => {
+                let Request::Call { id, call } = request else { return };
                 let asked = self.asked_as(origin, &call);
                 let write = Write { question: asked, id, call: &call, full: state.full };
                 let told = state.members[to].takes(origin, write);
@@ -133,16 +134,16 @@
         let asked = self
             .questions
             .iter()
-            .position(|question| question.desk == origin.desk && question.call == *call);
+            .position(|question| question.client == origin.client && question.call == *call);
         asked.expect("every question is one of the model's")
     }
 
     fn restarts(&self, state: &mut ForwardedState) {
         state.lives[0] += 1;
-        state.desks[0] = new_desk();
+        state.clients[0] = new_client();
         for (at, question) in self.questions.iter().enumerate() {
             let open = matches!(state.progress[at], Progress::Open { .. } | Progress::Unasked);
-            if question.desk == 0 && self.life_of(at) == 0 && open {
+            if question.client == 0 && self.life_of(at) == 0 && open {
                 state.progress[at] = Progress::Gone;
             }
         }
@@ -151,7 +152,7 @@
     /// Lives of the first member's process, counted from 0 by when their questions come.
     fn life_of(&self, at: usize) -> u64 {
         let before = &self.questions[..at];
-        before.iter().filter(|question| question.desk == self.questions[at].desk).count() as u64
+        before.iter().filter(|question| question.client == self.questions[at].client).count() as u64
     }
 
     fn has_restart(&self) -> bool {
@@ -168,7 +169,7 @@
         let member = Member { log, committed: 1, leads: false, replies: Vec::new() };
         let mut state = ForwardedState {
             now_ms: 0,
-            desks: [new_desk(), new_desk()],
+            clients: [new_client(), new_client()],
             lives: [0, 0],
             members: [Member { leads: true, ..member.clone() }, member],
             ways: Vec::new(),
@@ -187,7 +188,7 @@
     fn actions(&self, state: &ForwardedState) -> Vec<ForwardedAction> {
         use ForwardedAction::*;
         let unasked = |at: &usize| {
-            let lives = state.lives[self.questions[*at].desk];
+            let lives = state.lives[self.questions[*at].client];
             state.progress[*at] == Progress::Unasked && self.life_of(*at) == lives
         };
         let mut actions: Vec<_> = (0..self.questions.len()).filter(unasked).map(Asks).collect();
@@ -197,7 +198,7 @@
         let leader = &state.members[state.leader];
         let may = [
             (state.ticks > 0, Ticks),
-            (state.desks.iter().any(|desk| desk.open() > 0), TimesOut),
+            (state.clients.iter().any(|client| client.open() > 0), TimesOut),
             (leader.committed < leader.log.len(), Commits),
             (self.elects && state.leader == 0, Elects { with_all: false }),
             (self.elects && state.leader == 0, Elects { with_all: true }),
--- a/crates/simulation/src/search/forwarded_log.rs
+++ b/crates/simulation/src/search/forwarded_log.rs
@@ -23,7 +23,7 @@
 /// Where a response goes.
 #[derive(Clone, Copy, Debug)]
 pub struct Origin {
-    pub desk: usize,
+    pub client: usize,
     pub key: u64,
 }
 
--- a/crates/simulation/src/search/forwarded_state.rs
+++ b/crates/simulation/src/search/forwarded_state.rs
@@ -1,15 +1,15 @@
-//! Where the members, their desks and the callers of the forwarded calls' model stand.
+//! Where the members, their clients and the callers of the forwarded calls' model stand.
 
 use super::forwarded_log::{Entry, Member, Origin, Told, state_of};
-use postbarrow_desk::Desk;
-use postbarrow_messages::{Ask, Response};
+use postbarrow_controller_client::ControllerClient;
+use postbarrow_messages::{Request, Response};
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 
 /// A message on its way.
 #[derive(Clone, Debug)]
 pub enum Way {
-    Question { to: usize, origin: Origin, ask: Ask },
+    Question { to: usize, origin: Origin, request: Request },
     Answer { origin: Origin, response: Response },
 }
 
@@ -32,7 +32,7 @@
 #[derive(Clone, Debug)]
 pub struct ForwardedState {
     pub(super) now_ms: u64,
-    pub(super) desks: [Desk; 2],
+    pub(super) clients: [ControllerClient; 2],
     pub(super) lives: [u64; 2],
     pub(super) members: [Member; 2],
     pub(super) ways: Vec<Way>,
@@ -67,11 +67,11 @@
     SocketAddr::from(([10, 1, 0, 1 + member as u8], 1))
 }
 
-/// A process's desk at its start.
-pub fn new_desk() -> Desk {
-    let mut desk = Desk::default();
-    desk.learn(0, Some(address(0)), &[address(0), address(1)]);
-    desk
+/// A process's client at its start.
+pub fn new_client() -> ControllerClient {
+    let mut client = ControllerClient::default();
+    client.learn(0, Some(address(0)), &[address(0), address(1)]);
+    client
 }
 
 impl ForwardedState {
@@ -81,7 +81,7 @@
             self.ways.drain(..).map(|way| (format!("{way:?}"), way)).collect();
         printed.sort_by(|one, other| one.0.cmp(&other.0));
         let names: Vec<&String> = printed.iter().map(|(name, _)| name).collect();
-        let standing = (&self.desks, &self.members, &names, &self.progress, self.leader);
+        let standing = (&self.clients, &self.members, &names, &self.progress, self.leader);
         let left = (self.full, self.meanwhile, self.losses, self.ticks, self.now_ms, self.lives);
         self.printed = format!("{standing:?} {left:?}");
         self.ways = printed.into_iter().map(|(_, way)| way).collect();
--- a/crates/simulation/tests/forwarded.rs
+++ b/crates/simulation/tests/forwarded.rs
@@ -20,8 +20,8 @@
     }
 }
 
-fn question(desk: usize, id: Option<&str>, call: Call) -> Question {
-    Question { desk, life: FIRST_LIFE, id: id.map(Name::from), call }
+fn question(client: usize, id: Option<&str>, call: Call) -> Question {
+    Question { client, life: FIRST_LIFE, id: id.map(Name::from), call }
 }
 
 fn lock(holder: &str) -> Call {
--- a/programs/control-plane/src/asker.rs
+++ b/programs/control-plane/src/asker.rs
@@ -1,5 +1,5 @@
 use crate::core::Command;
-use postbarrow_messages::{Ask, Response};
+use postbarrow_messages::{Request, Response};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
 use std::sync::mpsc::{Sender, sync_channel};
@@ -29,9 +29,9 @@
 
     /// The controller's response; `Unavailable` where nobody who could take the question was ever
     /// sent it, `TimedOut` after so many milliseconds where somebody may have taken it.
-    pub fn ask(&self, ask: Ask, wait_ms: u64) -> Response {
+    pub fn ask(&self, request: Request, wait_ms: u64) -> Response {
         let (reply, response) = sync_channel(1);
-        if self.commands.send(Command::Ask { ask, wait_ms, reply }).is_err() {
+        if self.commands.send(Command::Request { request, wait_ms, reply }).is_err() {
             return Response::Unavailable;
         }
         let patience = Duration::from_millis(wait_ms + 200);
--- a/programs/control-plane/src/core.rs
+++ b/programs/control-plane/src/core.rs
@@ -3,8 +3,8 @@
 use log::{info, warn};
 use postbarrow_constants::consensus::TICK_MS;
 use postbarrow_controller::{Contact, ControlNode, Effect, Input, PageResult, Snap};
-use postbarrow_desk::{Desk, Effect as DeskEffect};
-use postbarrow_messages::{Ask, Envelope, Message, Response};
+use postbarrow_controller_client::{ControllerClient, Effect as ClientEffect};
+use postbarrow_messages::{Envelope, Message, Request, Response};
 use postbarrow_transport::{Links, Slab, clock_ms, random};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -23,8 +23,8 @@
         index: u64,
         state: Vec<u8>,
     },
-    Ask {
-        ask: Ask,
+    Request {
+        request: Request,
         wait_ms: u64,
         reply: SyncSender<Response>,
     },
@@ -43,7 +43,7 @@
     node: ControlNode,
     own: SocketAddr,
     links: Links,
-    desk: Desk,
+    controller_client: ControllerClient,
     asks: Slab<SyncSender<Response>>,
     writes: Writes,
     fetches: Sender<Fetch>,
@@ -64,12 +64,13 @@
         open_requests: Arc<AtomicUsize>,
     ) -> Self {
         let links = Links::new(own);
-        let (desk, asks, local) = (Desk::default(), Slab::new(random()), VecDeque::new());
+        let (controller_client, asks, local) =
+            (ControllerClient::default(), Slab::new(random()), VecDeque::new());
         Core {
             node,
             own,
             links,
-            desk,
+            controller_client,
             asks,
             writes,
             fetches,
@@ -112,11 +113,11 @@
         let members = if members.is_empty() { self.node.introduced() } else { members };
         let leader = log.leader().map(|member| member.address);
         match self.node.contact(now_ms) {
-            Contact::Outside => self.desk.learn(now_ms, leader, &members),
-            Contact::Leader(leader) => self.desk.learn(now_ms, Some(leader), &members),
-            Contact::Silent { since_ms } => self.desk.hears_no_leader(since_ms),
+            Contact::Outside => self.controller_client.learn(now_ms, leader, &members),
+            Contact::Leader(leader) => self.controller_client.learn(now_ms, Some(leader), &members),
+            Contact::Silent { since_ms } => self.controller_client.hears_no_leader(since_ms),
         }
-        let effects = self.desk.tick(now_ms);
+        let effects = self.controller_client.tick(now_ms);
         self.carry_out(effects);
     }
 
@@ -133,9 +134,9 @@
             Command::Encoded { index, state } => {
                 self.handle(now_ms, Input::Encoded { index, state })
             }
-            Command::Ask { ask, wait_ms, reply } => {
+            Command::Request { request, wait_ms, reply } => {
                 let key = self.asks.insert(reply);
-                let effects = self.desk.ask(now_ms, key, ask, wait_ms);
+                let effects = self.controller_client.ask(now_ms, key, request, wait_ms);
                 self.carry_out(effects);
             }
             Command::Seeds(seeds) => self.handle(now_ms, Input::Seeds(seeds)),
@@ -159,7 +160,7 @@
     fn receive(&mut self, envelope: Envelope) {
         let now_ms = clock_ms();
         if let Message::Response { key, response } = envelope.message {
-            let effects = self.desk.on_response(now_ms, key, response);
+            let effects = self.controller_client.on_response(now_ms, key, response);
             self.carry_out(effects);
         } else {
             self.handle(now_ms, Input::Receive(envelope));
@@ -191,11 +192,11 @@
         }
     }
 
-    fn carry_out(&mut self, effects: Vec<DeskEffect>) {
+    fn carry_out(&mut self, effects: Vec<ClientEffect>) {
         for effect in effects {
             match effect {
-                DeskEffect::Send { to, message } => self.send(to, message),
-                DeskEffect::Answer { key, response } => {
+                ClientEffect::Send { to, message } => self.send(to, message),
+                ClientEffect::Answer { key, response } => {
                     if let Some(reply) = self.asks.take(key) {
                         let _ = reply.try_send(response);
                     }
--- a/programs/control-plane/src/operator.rs
+++ b/programs/control-plane/src/operator.rs
@@ -5,10 +5,10 @@
 use postbarrow_constants::coordination::SUBMIT_WAIT_MS;
 use postbarrow_constants::plans::PLAN_TEXT_BYTES;
 use postbarrow_constants::traffic::RETRY_AFTER_S;
-use postbarrow_messages::{Ask, Response as Told, Submission};
+use postbarrow_messages::{Request, Response as Told, Submission};
 use postbarrow_plan::Plan;
 use postbarrow_routing::Traffic;
-use rouille::{Request, Response, Server};
+use rouille::{Request as HttpRequest, Response, Server};
 use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::thread;
@@ -36,7 +36,7 @@
 pub fn start(address: SocketAddr, asker: Asker) -> io::Result<SocketAddr> {
     let ask = {
         let asker = asker.clone();
-        move |ask: Ask, wait_ms: u64| asker.ask(ask, wait_ms)
+        move |ask: Request, wait_ms: u64| asker.ask(ask, wait_ms)
     };
     let server = Server::new(address, move |request| {
         let _at_work = asker.at_work();
@@ -48,14 +48,14 @@
     Ok(address)
 }
 
-fn serve(request: &Request, ask: &dyn Fn(Ask, u64) -> Told) -> Response {
+fn serve(request: &HttpRequest, ask: &dyn Fn(Request, u64) -> Told) -> Response {
     let url = request.url();
     match (request.method(), url.as_str()) {
         ("POST", "/plans") => submit(request, ask),
-        ("GET", "/plan") => answer(ask(Ask::Show, SUBMIT_WAIT_MS)),
-        ("GET", "/targets") => answer(ask(Ask::Targets, SUBMIT_WAIT_MS)),
-        ("GET", "/members") => answer(ask(Ask::Members, SUBMIT_WAIT_MS)),
-        ("GET", "/status") => answer(ask(Ask::Status, SUBMIT_WAIT_MS)),
+        ("GET", "/plan") => answer(ask(Request::Show, SUBMIT_WAIT_MS)),
+        ("GET", "/targets") => answer(ask(Request::Targets, SUBMIT_WAIT_MS)),
+        ("GET", "/members") => answer(ask(Request::Members, SUBMIT_WAIT_MS)),
+        ("GET", "/status") => answer(ask(Request::Status, SUBMIT_WAIT_MS)),
         (_, "/plans" | "/plan" | "/targets" | "/members" | "/status") => {
             refused(405, "another method", Vec::new())
         }
@@ -63,7 +63,7 @@
     }
 }
 
-fn submit(request: &Request, ask: &dyn Fn(Ask, u64) -> Told) -> Response {
+fn submit(request: &HttpRequest, ask: &dyn Fn(Request, u64) -> Told) -> Response {
     let length = request.header("Content-Length").and_then(|text| text.parse::<u64>().ok());
     if length.is_some_and(|length| length > PLAN_TEXT_BYTES as u64) {
         return refused(413, "the plan is too large", Vec::new());
@@ -113,7 +113,7 @@
         allow_empty: says("allow-empty"),
     };
     info!("operator: plan {} with {} routes", plan.version, plan.routes.len());
-    answer(with_traffic(ask(Ask::Submit(submission), SUBMIT_WAIT_MS), &traffic))
+    answer(with_traffic(ask(Request::Submit(submission), SUBMIT_WAIT_MS), &traffic))
 }
 
 /// The controller's word on the plan, and beside it what the door measured.
--- a/programs/control-plane/src/operator/tests.rs
+++ b/programs/control-plane/src/operator/tests.rs
@@ -6,7 +6,7 @@
 
 fn door(method: &str, url: &str, told: &Told) -> (u16, bool) {
     let body = if method == "POST" { PLAN.as_bytes().to_vec() } else { Vec::new() };
-    let request = Request::fake_http(method, url, Vec::new(), body);
+    let request = HttpRequest::fake_http(method, url, Vec::new(), body);
     let response = serve(&request, &|_, _| told.clone());
     let back = response.headers.iter().any(|(name, _)| name == "Retry-After");
     (response.status_code, back)
--- a/programs/control-plane/src/rehearse.rs
+++ b/programs/control-plane/src/rehearse.rs
@@ -1,8 +1,8 @@
 use postbarrow_constants::coordination::SUBMIT_WAIT_MS;
-use postbarrow_messages::{Ask, Response as Told};
+use postbarrow_messages::{Request, Response as Told};
 use postbarrow_plan::Plan;
 use postbarrow_routing::{Recent, Traffic};
-use rouille::Request;
+use rouille::Request as HttpRequest;
 
 /// No controller told what recent requests would meet.
 #[derive(Debug, PartialEq, Eq)]
@@ -17,7 +17,7 @@
 }
 
 impl Allowed {
-    pub fn read(request: &Request) -> Result<Allowed, Vec<String>> {
+    pub fn read(request: &HttpRequest) -> Result<Allowed, Vec<String>> {
         let mut findings = Vec::new();
         let mut take = |name: &str| {
             let text = request.get_param(name)?;
@@ -65,11 +65,11 @@
 ///
 /// # Errors
 /// No controller answered: that says nothing of the plan, and must not refuse it.
-pub fn traffic(plan: &Plan, ask: &dyn Fn(Ask, u64) -> Told) -> Result<Traffic, NoController> {
-    let Told::Recent { samples, seen, seconds } = ask(Ask::Recent, SUBMIT_WAIT_MS) else {
+pub fn traffic(plan: &Plan, ask: &dyn Fn(Request, u64) -> Told) -> Result<Traffic, NoController> {
+    let Told::Recent { samples, seen, seconds } = ask(Request::Recent, SUBMIT_WAIT_MS) else {
         return Err(NoController);
     };
-    let text = match ask(Ask::Show, SUBMIT_WAIT_MS) {
+    let text = match ask(Request::Show, SUBMIT_WAIT_MS) {
         Told::Plan { text, .. } => text,
         Told::TimedOut | Told::Unavailable => return Err(NoController),
         _ => return Ok(Traffic::unknown("no plan is in force to compare with")),
--- a/programs/data-plane/src/ask.rs
+++ b/programs/data-plane/src/ask.rs
@@ -6,7 +6,7 @@
 use crate::wire::Gate;
 use postbarrow_constants::coordination::{SETTLE_WAIT_MS, TICKET_KEY_BYTES};
 use postbarrow_downstream::memory::Reserved;
-use postbarrow_messages::Ask;
+use postbarrow_messages::Request;
 use postbarrow_node::*;
 use postbarrow_routing::{Entry, Load};
 use postbarrow_state::{Digest, Kind, Name, Target};
@@ -71,16 +71,16 @@
         event = match course.handle(&now, event) {
             Step::Connect { target, load, wait_ms } => work.connect(target, load, wait_ms),
             Step::AskTicket { ticket, wait_ms } => {
-                Event::Answered(shared.ask(Ask::Ticket(ticket), wait_ms))
+                Event::Answered(shared.ask(Request::Ticket(ticket), wait_ms))
             }
             Step::Pass { wait_ms, until_ms } => Event::Passed(work.pass(wait_ms, until_ms)),
             Step::Settle { ticket, settlement, response, wait_ms } => {
-                let settle = Ask::Settle { ticket, settlement, response };
+                let settle = Request::Settle { ticket, settlement, response };
                 Event::Answered(shared.ask(settle, wait_ms))
             }
             Step::Done { verdict, settle } => {
                 if let Some((ticket, settlement, response)) = settle {
-                    let settle = Ask::Settle { ticket, settlement, response };
+                    let settle = Request::Settle { ticket, settlement, response };
                     shared.tell(settle, SETTLE_WAIT_MS);
                 }
                 return (dialect.told(verdict), work.memory);
--- a/programs/data-plane/src/calls.rs
+++ b/programs/data-plane/src/calls.rs
@@ -4,7 +4,7 @@
 use facet::Facet;
 use postbarrow_constants::coordination::*;
 use postbarrow_constants::traffic::{COORDINATION_ASKS, RETRY_AFTER_S};
-use postbarrow_messages::{Ask, Response};
+use postbarrow_messages::{Request, Response};
 use postbarrow_node::TargetResponse;
 use postbarrow_state::{Call, Change, Event, Name, Outcome};
 use postbarrow_transport::clock_ms;
@@ -100,7 +100,7 @@
     let id = repeat_id(&key, &call);
     let reads =
         matches!(call, Call::ReadKey { .. } | Call::ReadLock { .. } | Call::ReadNumber { .. });
-    let response = shared.ask(Ask::Call { id: Some(id), call }, ASK_CONTROLLER_MS);
+    let response = shared.ask(Request::Call { id: Some(id), call }, ASK_CONTROLLER_MS);
     match response {
         Response::Outcome(outcome) => tell(outcome),
         Response::Refused(why) => error(400, &why),
@@ -132,7 +132,7 @@
     let over = || clock_ms() >= until_ms || shared.stopping.load(Relaxed) || gone();
     let mut call = call;
     loop {
-        let asked = Ask::Call { id: None, call: call.clone() };
+        let asked = Request::Call { id: None, call: call.clone() };
         match shared.ask(asked, ASK_CONTROLLER_MS) {
             Response::Outcome(Outcome::Events { events, next })
                 if events.is_empty() && !first && !over() =>
--- a/programs/data-plane/src/core.rs
+++ b/programs/data-plane/src/core.rs
@@ -2,7 +2,7 @@
 use crate::upstream::Pools;
 use log::info;
 use postbarrow_constants::consensus::TICK_MS;
-use postbarrow_messages::{Ask, Envelope, Response};
+use postbarrow_messages::{Envelope, Request, Response};
 use postbarrow_node::{DataNode, Effect, Input};
 use postbarrow_routing::Table;
 use postbarrow_state::Name;
@@ -15,8 +15,8 @@
 
 pub enum Command {
     Envelope(Envelope),
-    Ask {
-        ask: Ask,
+    Request {
+        request: Request,
         wait_ms: u64,
         reply: Option<SyncSender<Response>>,
     },
@@ -80,9 +80,9 @@
         let now_ms = clock_ms();
         match command {
             Command::Envelope(envelope) => self.handle(now_ms, Input::Receive(envelope)),
-            Command::Ask { ask, wait_ms, reply } => {
+            Command::Request { request, wait_ms, reply } => {
                 let key = self.asks.insert(reply);
-                self.handle(now_ms, Input::Ask { key, ask, wait_ms });
+                self.handle(now_ms, Input::Request { key, request, wait_ms });
             }
             Command::Probed { instance, sound } => {
                 self.handle(now_ms, Input::Probed { instance, sound })
--- a/programs/data-plane/src/share.rs
+++ b/programs/data-plane/src/share.rs
@@ -7,7 +7,7 @@
 use crossbeam_queue::ArrayQueue;
 use postbarrow_constants::plans::{SAMPLE_BYTES, SAMPLES_TOLD, SAMPLES_WAITING};
 use postbarrow_downstream::memory::Memory;
-use postbarrow_messages::{Ask, Response};
+use postbarrow_messages::{Request, Response};
 use postbarrow_routing::Table;
 use postbarrow_startup::Bounds;
 use postbarrow_state::{Name, Node, Sample};
@@ -133,10 +133,14 @@
     }
 
     /// Asks the controller and waits for its response or the end of the time.
-    pub fn ask(&self, ask: Ask, wait_ms: u64) -> Response {
+    pub fn ask(&self, ask: Request, wait_ms: u64) -> Response {
         let (reply, response) = sync_channel(1);
         let wait_ms = wait_ms.max(1);
-        if self.commands.send(Command::Ask { ask, wait_ms, reply: Some(reply) }).is_err() {
+        if self
+            .commands
+            .send(Command::Request { request: ask, wait_ms, reply: Some(reply) })
+            .is_err()
+        {
             return Response::TimedOut;
         }
         let patience = Duration::from_millis(wait_ms + 200);
@@ -144,8 +148,8 @@
     }
 
     /// Tells the controller; sent again until it is taken, waited for by nobody.
-    pub fn tell(&self, ask: Ask, wait_ms: u64) {
-        let _ = self.commands.send(Command::Ask { ask, wait_ms, reply: None });
+    pub fn tell(&self, ask: Request, wait_ms: u64) {
+        let _ = self.commands.send(Command::Request { request: ask, wait_ms, reply: None });
     }
 
     pub fn command(&self, command: Command) {
--- a/programs/data-plane/src/tests/asks.rs
+++ b/programs/data-plane/src/tests/asks.rs
@@ -1,6 +1,6 @@
 use super::rig::*;
 use postbarrow_constants::traffic::HEAD_BYTES;
-use postbarrow_messages::{Ask, Response};
+use postbarrow_messages::{Request, Response};
 use postbarrow_state::Settlement;
 use std::sync::atomic::Ordering::Relaxed;
 
@@ -98,7 +98,7 @@
 fn without_a_word_on_its_ticket_an_ask_is_unknown_and_never_passed() {
     let found = ScriptedTarget::start("s-1", "s", vec![Script::Whole("x")]);
     let rig = Rig::new(vec![target("s-1", "s", found.address)], |ask| match ask {
-        Ask::Ticket(_) => Response::TimedOut,
+        Request::Ticket(_) => Response::TimedOut,
         other => yes(other),
     });
     let told = rig.post("", "a");
@@ -113,7 +113,7 @@
     let (leaves, leaving) = std::sync::mpsc::channel::<()>();
     let (left, gone) = std::sync::mpsc::channel::<()>();
     let rig = Rig::new(vec![target("s-1", "s", found.address)], move |ask| {
-        if matches!(ask, Ask::Ticket(_)) {
+        if matches!(ask, Request::Ticket(_)) {
             leaves.send(()).unwrap();
             gone.recv().unwrap();
         }
--- a/programs/data-plane/src/tests/promises.rs
+++ b/programs/data-plane/src/tests/promises.rs
@@ -1,7 +1,7 @@
 use super::rig::*;
 use crate::upstream::Proved;
 use postbarrow_downstream::memory::{Memory, Reserved};
-use postbarrow_messages::{Ask, Response};
+use postbarrow_messages::{Request, Response};
 use postbarrow_node::Passed;
 use postbarrow_state::{Call, Change, Event, Outcome};
 use std::io::{Read, Write};
@@ -19,7 +19,7 @@
 fn keys(rig: &Rig) -> Vec<String> {
     let asked = rig.asked.lock().unwrap();
     let keys = asked.iter().filter_map(|ask| match ask {
-        Ask::Ticket(ticket) => Some(ticket.key.to_string()),
+        Request::Ticket(ticket) => Some(ticket.key.to_string()),
         _ => None,
     });
     keys.collect()
@@ -80,8 +80,8 @@
 #[test]
 fn a_log_without_space_is_told_as_not_run_with_a_time_to_come_back() {
     let found = ScriptedTarget::start("s-1", "s", vec![Script::Whole("fine")]);
-    let full = |ask: &Ask| match ask {
-        Ask::Ticket(_) => Response::Full,
+    let full = |ask: &Request| match ask {
+        Request::Ticket(_) => Response::Full,
         ask => yes(ask),
     };
     let rig = Rig::new(vec![target("s-1", "s", found.address)], full);
@@ -97,11 +97,11 @@
 /// What does not match a watch still moves it on, or the history it needs would be trimmed.
 #[test]
 fn a_watch_that_hears_nothing_moves_on_with_the_log() {
-    let answer = |ask: &Ask| match ask {
-        Ask::Call { call: Call::Watch { after: Some(3), .. }, .. } => {
+    let answer = |ask: &Request| match ask {
+        Request::Call { call: Call::Watch { after: Some(3), .. }, .. } => {
             Response::Outcome(Outcome::Events { events: Vec::new(), next: 9 })
         }
-        Ask::Call { call: Call::Watch { after: Some(9), .. }, .. } => {
+        Request::Call { call: Call::Watch { after: Some(9), .. }, .. } => {
             let change = Change::Number(4);
             let event = Event { revision: 12, name: "n".into(), change };
             Response::Outcome(Outcome::Events { events: vec![event], next: 12 })
--- a/programs/data-plane/src/tests/rig.rs
+++ b/programs/data-plane/src/tests/rig.rs
@@ -3,7 +3,7 @@
 use crate::downstream;
 use crate::share::Shared;
 use crate::upstream::Pools;
-use postbarrow_messages::{Ask, Response};
+use postbarrow_messages::{Request, Response};
 use postbarrow_routing::Table;
 use postbarrow_startup::Bounds;
 use postbarrow_state::*;
@@ -18,7 +18,7 @@
 pub struct Rig {
     pub shared: Arc<Shared>,
     pub http: SocketAddr,
-    pub asked: Arc<Mutex<Vec<Ask>>>,
+    pub asked: Arc<Mutex<Vec<Request>>>,
 }
 
 pub fn target(instance: &str, service: &str, address: SocketAddr) -> Target {
@@ -36,14 +36,17 @@
 }
 
 impl Rig {
-    pub fn new(targets: Vec<Target>, answer: impl Fn(&Ask) -> Response + Send + 'static) -> Rig {
+    pub fn new(
+        targets: Vec<Target>,
+        answer: impl Fn(&Request) -> Response + Send + 'static,
+    ) -> Rig {
         Rig::speaking(Arc::new(crate::Own), targets, answer)
     }
 
     pub fn speaking(
         dialect: Arc<dyn crate::Dialect>,
         targets: Vec<Target>,
-        answer: impl Fn(&Ask) -> Response + Send + 'static,
+        answer: impl Fn(&Request) -> Response + Send + 'static,
     ) -> Rig {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let http = listener.local_addr().unwrap();
@@ -54,7 +57,7 @@
         let told = asked.clone();
         thread::spawn(move || {
             for command in queue {
-                if let Command::Ask { ask, reply, .. } = command {
+                if let Command::Request { request: ask, reply, .. } = command {
                     let response = answer(&ask);
                     told.lock().unwrap().push(ask);
                     if let Some(reply) = reply {
@@ -130,10 +133,10 @@
 
     /// All settled so far: a question behind them in the queue is answered after them.
     pub fn settled(&self) -> Vec<Settlement> {
-        self.shared.ask(Ask::Show, 60_000);
+        self.shared.ask(Request::Show, 60_000);
         let asked = self.asked.lock().unwrap();
         let settled = asked.iter().filter_map(|ask| match ask {
-            Ask::Settle { settlement, .. } => Some(*settlement),
+            Request::Settle { settlement, .. } => Some(*settlement),
             _ => None,
         });
         settled.collect()
@@ -141,10 +144,10 @@
 }
 
 /// A controller that grants and settles all.
-pub fn yes(ask: &Ask) -> Response {
+pub fn yes(ask: &Request) -> Response {
     match ask {
-        Ask::Ticket(_) => Response::Granted,
-        Ask::Settle { .. } => Response::Settled,
+        Request::Ticket(_) => Response::Granted,
+        Request::Settle { .. } => Response::Settled,
         _ => Response::Refused("not asked here".into()),
     }
 }
--- a/programs/data-plane/src/tests/silence.rs
+++ b/programs/data-plane/src/tests/silence.rs
@@ -8,7 +8,7 @@
 use postbarrow_node::Passed;
 
 /// Long enough for a request to reach its target, short enough for a test.
-const SHORT: &str = "Ask: p\r\nWait-Ms: 300\r\n";
+const SHORT: &str = "Request: p\r\nWait-Ms: 300\r\n";
 
 fn silent(late: Vec<u8>) -> (Moment, Script) {
     let (moment, cue) = moment();
@@ -55,7 +55,7 @@
     for cut in [Vec::new(), whole[..20].to_vec(), whole[..whole.len() - 2].to_vec()] {
         let good = || vec![Script::Reply(whole.clone())];
         let (one, other, rig) = two(vec![Script::Reset(cut.clone())], good());
-        let told = rig.post("Ask: p\r\n", "x");
+        let told = rig.post("Request: p\r\n", "x");
         assert!(told.starts_with("HTTP/1.1 502") && told.ends_with("sent"), "{told}");
         assert_eq!((one.runs(), other.runs()), (1, 0), "it may have run");
         let (one, other, rig) = two(vec![Script::Reset(cut)], good());
@@ -78,7 +78,7 @@
         let (one, other, rig) = two(script, vec![Script::Raw(Vec::new())]);
         assert!(get(&rig, "a").ends_with("\r\n\r\n1"));
         later.comes();
-        assert!(rig.post("Ask: p\r\n", "x").ends_with("\r\n\r\n2"));
+        assert!(rig.post("Request: p\r\n", "x").ends_with("\r\n\r\n2"));
         assert_eq!((one.runs(), other.runs(), connections(&one)), (2, 0, 2));
     }
 }
@@ -113,7 +113,7 @@
     assert!(get(&rig, "p").ends_with("\r\n\r\ndone"), "a lookup goes on");
     assert_eq!((one.runs(), other.runs()), (1, 1));
     let (one, other, rig) = two(away(), away());
-    let told = rig.post("Ask: p\r\n", "x");
+    let told = rig.post("Request: p\r\n", "x");
     assert!(told.starts_with("HTTP/1.1 503") && told.ends_with("unsent"), "{told}");
     assert_eq!((one.runs(), other.runs()), (1, 1), "each said that it did not run it");
 }
--- a/tools/scale-run/src/runs.rs
+++ b/tools/scale-run/src/runs.rs
@@ -1,6 +1,6 @@
 use crate::Cli;
 use crate::world::{self, Body, World};
-use postbarrow_messages::{Ask, Submission};
+use postbarrow_messages::{Request, Submission};
 use postbarrow_state::{Kind, Labels, Name, Record, Route, Service};
 
 fn submission(version: u64, routes: usize, services: usize) -> Submission {
@@ -40,7 +40,7 @@
     let start_us = world.now_us;
     world.answers.clear();
     if let Some(leader) = world.leader() {
-        world.ask(leader, version, Ask::Submit(submission(version, routes, services)));
+        world.ask(leader, version, Request::Submit(submission(version, routes, services)));
     }
     let wanted = Some(Name::from(format!("v{version}")));
     for _ in 0..500 {
--- a/tools/scale-run/src/world.rs
+++ b/tools/scale-run/src/world.rs
@@ -170,9 +170,9 @@
         self.now_us = until_us;
     }
 
-    pub fn ask(&mut self, at: usize, key: u64, ask: postbarrow_messages::Ask) {
+    pub fn ask(&mut self, at: usize, key: u64, ask: postbarrow_messages::Request) {
         let from = address(60_000);
-        let frame = to_frame(&Envelope { from, message: Message::Ask { key, ask } });
+        let frame = to_frame(&Envelope { from, message: Message::Request { key, request: ask } });
         let life = self.processes[at].life;
         if let Ok(frame) = frame {
             self.push(at, life, 100, Event::Frame(frame));
