Do not lock a folder that does not last, and say why a lock is refused

Ruled out: two processes in one folder (the refusal stayed with a folder for each address).

Change: a guest's folder is not locked, for it is never a member; any other refusal than 'would block' is told as the system gave it.

--- a/programs/control-plane/src/disk.rs
+++ b/programs/control-plane/src/disk.rs
@@ -145,9 +145,16 @@
 
 /// One process a data folder; the lock goes with the process. The file holds nothing, so it is no
 /// matter whether a loss of power keeps its name.
+///
+/// # Errors
+/// `AddrInUse` if another process holds the lock, else what the file system said.
 pub fn lock(folder: &Path) -> io::Result<()> {
     let file = File::create(folder.join("lock"))?;
     if unsafe { libc::flock(file.as_raw_fd(), libc::LOCK_EX | libc::LOCK_NB) } != 0 {
+        let error = io::Error::last_os_error();
+        if error.kind() != io::ErrorKind::WouldBlock {
+            return Err(error);
+        }
         let text = format!("{} is used by another process", folder.display());
         return Err(io::Error::new(io::ErrorKind::AddrInUse, text));
     }
--- a/programs/control-plane/src/disk/tests.rs
+++ b/programs/control-plane/src/disk/tests.rs
@@ -147,3 +147,14 @@
     writes.write(1, vote(1));
     assert!(matches!(told.recv_timeout(HANGS), Ok(Command::DiskFailed(_))));
 }
+
+#[test]
+fn a_folder_serves_one_process_and_the_lock_says_so() {
+    let folder = std::env::temp_dir().join(format!("postbarrow-lock-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    lock(&folder).expect("nobody holds it");
+    let refused = lock(&folder).expect_err("this process holds it by another file");
+    std::fs::remove_dir_all(&folder).expect("it is empty but for the lock");
+    assert_eq!(refused.kind(), io::ErrorKind::AddrInUse);
+    assert!(lock(&folder).is_err_and(|error| error.kind() == io::ErrorKind::NotFound));
+}
--- a/programs/control-plane/src/lib.rs
+++ b/programs/control-plane/src/lib.rs
@@ -46,7 +46,7 @@
     /// The same node for operators, applications and a list that speak another dialect.
     pub fn speaking(startup: &Startup, dialect: Arc<dyn Dialect>) -> io::Result<ControlPlane> {
         let folder = startup.data.clone().ok_or(io::ErrorKind::InvalidInput)?;
-        let (storage, recovered) = opening::open_folder(&folder)?;
+        let (storage, recovered) = opening::open_folder(&folder, !startup.guest)?;
         let (links, address) = startup.listen()?;
         let own = Member { id: storage.id(), address };
         info!("control: {} is member {:016x} at {}", startup.name, own.id, own.address);
--- a/programs/control-plane/src/opening.rs
+++ b/programs/control-plane/src/opening.rs
@@ -12,10 +12,13 @@
 use std::thread;
 use std::time::Duration;
 
-/// What the folder kept, or a new member's storage.
-pub fn open_folder(folder: &Path) -> io::Result<(Storage<FolderDisk>, Recovered)> {
+/// What the folder kept, or a new member's storage. A folder that does not last is not locked: its
+/// process is never a member, and file systems in memory may have no locks.
+pub fn open_folder(folder: &Path, lasts: bool) -> io::Result<(Storage<FolderDisk>, Recovered)> {
     while_full(|| FolderDisk::new(folder.to_path_buf()))?;
-    while_full(|| lock(folder))?;
+    if lasts {
+        while_full(|| lock(folder))?;
+    }
     while_full(|| open_disk(folder))
 }
 
