Let guests pass on that a log exists, so that whoever knows only guests finds it

Cause: a guest answered an introduction with the right addresses but 'no log exists', since its own log is empty, and data nodes take addresses only from who knows of a log.

Ruled out: news and images (watermark 0, no controller: they never got so far); the guests' own view, they knew all members.

Change: who is no member passes on what it was told of a log.

Seen: strangers.rs, which fails without the change.

--- a/crates/controller/src/greet.rs
+++ b/crates/controller/src/greet.rs
@@ -153,12 +153,15 @@
         self.send(asker.address, Message::Consensus { from: before, to: asker.id, message });
     }
 
+    /// Names the members, or who may lead to them. One that is no member itself, a guest for one,
+    /// passes on that a log exists: whoever knows only guests finds the members by them.
     pub(crate) fn introduce(&mut self, from: SocketAddr) {
         let members: Vec<SocketAddr> =
             self.consensus.members().iter().map(|member| member.address).collect();
-        let formed = !self.consensus.is_fresh();
+        let is_fresh = self.consensus.is_fresh();
+        let formed = !is_fresh || self.book.formed;
         let mut control = members;
-        if !formed {
+        if is_fresh {
             control.extend(self.book.addresses.iter().copied());
         }
         self.send(from, Message::Introduction { control, formed });
--- a/crates/controller/tests/strangers.rs
+++ b/crates/controller/tests/strangers.rs
@@ -59,6 +59,17 @@
     let message = Message::Introduction { control, formed: true };
     guest.handle(4_000, Input::Receive(Envelope { from: member(1).address, message }));
     assert!(guest.introduced().contains(&member(3).address));
+    let asked = Envelope { from: client(), message: Message::Introduce };
+    let told = guest.handle(4_020, Input::Receive(asked)).into_iter().find_map(|effect| {
+        let postbarrow_controller::Effect::Send { to, message } = effect else { return None };
+        match message {
+            Message::Introduction { control, formed } if to == client() => Some((control, formed)),
+            _ => None,
+        }
+    });
+    let (control, formed) = told.expect("an introduction");
+    assert!(control.contains(&member(3).address));
+    assert!(formed, "a node that knows only guests must find the log by them");
 }
 
 #[test]
