--- a/crates/simulation/src/calls.rs
+++ b/crates/simulation/src/calls.rs
@@ -1,3 +1,5 @@
+//! Applications' calls for locks, numbers, keys and watches, and the checks of what they were told.
+
 use crate::data::Waits;
 use crate::event::Event;
 use crate::world::World;
@@ -65,7 +67,7 @@
 }
 
 impl World {
-    /// Asks the next thing, or asks the same again where the node that was asked is gone.
+    /// Asks the next thing, or requests the same again where the node that was asked is gone.
     pub fn next_call(&mut self, caller: usize) {
         self.after(40_000, Event::NextCall { caller });
         if let Some(open) = self.callers.open.get(&caller).cloned() {
@@ -75,7 +77,7 @@
             }
             return;
         }
-        if self.quiet && self.ask_pause_us == 0 {
+        if self.quiet && self.request_pause_us == 0 {
             return;
         }
         let call = match caller {
@@ -130,7 +132,7 @@
         let (node, number, call) = (open.node, open.number, open.call.clone());
         self.callers.open.insert(caller, open);
         let id = Some(Name::from(format!("call-{number}")));
-        self.ask_controller(
+        self.send_to_controller(
             node,
             Request::Call { id, call },
             WAIT_MS,
@@ -151,7 +153,7 @@
             (_, Outcome::Events { events, next }) => {
                 for event in events {
                     if !matches!(event.change, Change::Key(_) | Change::KeyGone) {
-                        self.book.violate("a watch on keys was told of something else".into());
+                        self.ledger.violate("a watch on keys was told of something else".into());
                     }
                     self.callers.told.push(event.revision);
                 }
@@ -186,7 +188,7 @@
             && other != caller
             && self.now_us < other_us
         {
-            self.book.violate(format!("callers {other} and {caller} hold the lock at once"));
+            self.ledger.violate(format!("callers {other} and {caller} hold the lock at once"));
         }
         self.callers.holder = Some((caller, until_us));
         self.callers.held.insert(caller, (name, fence, until_us));
--- a/crates/simulation/src/check.rs
+++ b/crates/simulation/src/check.rs
@@ -1,3 +1,5 @@
+//! Checks that run after every event: one history, at most one lease, no older plan, no leaving target.
+
 use crate::event::Who;
 use crate::world::World;
 use postbarrow_consensus::Payload;
@@ -14,7 +16,7 @@
             })
             .collect();
         if holding.len() > 1 {
-            self.book.violate(format!("control {holding:?} hold at once"));
+            self.ledger.violate(format!("control {holding:?} hold at once"));
         }
         let Some(node) = &self.control[at].node else { return };
         let log = node.consensus().log();
@@ -29,11 +31,11 @@
                     sum = sum.rotate_left(7) ^ u64::from(*byte);
                 }
             }
-            if *self.book.committed.entry(index).or_insert(sum) != sum {
+            if *self.ledger.committed.entry(index).or_insert(sum) != sum {
                 found.push(format!("control {at} has another entry {index} committed"));
             }
         }
-        found.into_iter().for_each(|text| self.book.violate(text));
+        found.into_iter().for_each(|text| self.ledger.violate(text));
         self.check_targets(at);
     }
 
@@ -56,7 +58,7 @@
             .filter(|instance| self.targets.iter().any(|target| target.instance == *instance))
             .collect();
         for instance in dropped {
-            self.book
+            self.ledger
                 .violate(format!("{instance} was dropped, though the list never showed it leave"));
         }
         self.control[at].targets = now;
@@ -66,31 +68,31 @@
         let state = &self.data[at].table.state;
         let Some(version) = state.plan_version().map(str::to_string) else { return };
         let published = (version, state.routes.len());
-        if self.book.refused.contains(&published) {
-            self.book.violate(format!("data-{at} serves {}, which was refused", published.0));
+        if self.ledger.refused.contains(&published) {
+            self.ledger.violate(format!("data-{at} serves {}, which was refused", published.0));
         }
     }
 
-    /// Whenever a node passes an ask on: no older plan, no leaving target.
-    pub fn check_pass(&mut self, ask: u64, at: usize) {
-        self.book.passes += 1;
+    /// Whenever a node forwards a request: no older plan, no leaving target.
+    pub fn check_pass(&mut self, request: u64, at: usize) {
+        self.ledger.passes += 1;
         let began = self.data[at].table.state.plan.as_ref().map_or(0, |plan| plan.offset);
         let now_us = self.now_us;
-        let due = self.book.in_force.iter().filter(|(at_us, _)| at_us + LEASE_US <= now_us);
+        let due = self.ledger.in_force.iter().filter(|(at_us, _)| at_us + LEASE_US <= now_us);
         if let Some(newest) = due.map(|(_, offset)| *offset).max()
             && began < newest
         {
-            self.book.violate(format!("data-{at} passed ask {ask} by an older plan"));
+            self.ledger.violate(format!("data-{at} passed request {request} by an older plan"));
         }
-        let Some(target) = self.target_of(ask) else { return };
+        let Some(target) = self.target_of(request) else { return };
         if let Some(left_us) = self.list.left.get(&target) {
             let late_us = now_us.saturating_sub(*left_us);
             let late_us = late_us.saturating_sub(self.list.mute_us(*left_us, now_us));
-            self.book.longest_leave_us = self.book.longest_leave_us.max(late_us);
+            self.ledger.longest_leave_us = self.ledger.longest_leave_us.max(late_us);
             if late_us > 2_500_000 {
                 let text =
-                    format!("{target} got an ask {late_us} us after the list showed it leave");
-                self.book.violate(text);
+                    format!("{target} got an request {late_us} us after the list showed it leave");
+                self.ledger.violate(text);
             }
         }
     }
--- a/crates/simulation/src/cling.rs
+++ b/crates/simulation/src/cling.rs
@@ -148,7 +148,7 @@
             return;
         }
         self.door_life(at);
-        let ask = match &question {
+        let request = match &question {
             Question::Show => Request::Show,
             Question::Order(handed) => Request::Submit(submission(handed)),
             Question::Call(call) => {
@@ -158,7 +158,7 @@
         let now_ms = self.local_ms(Who::Control(at));
         let Some(cling) = &mut self.cling else { return };
         cling.open.insert(key, Asked { start_us: asked_us, question });
-        let effects = cling.controller_client.ask(now_ms, key, ask, WAIT_MS);
+        let effects = cling.controller_client.ask(now_ms, key, request, WAIT_MS);
         self.door_does(at, effects);
     }
 
--- a/crates/simulation/src/clung.rs
+++ b/crates/simulation/src/clung.rs
@@ -19,16 +19,17 @@
                 self.check_outcome(start_us, &call, &outcome);
             }
             (question, response) => {
-                self.book.violate(format!("{question:?} was answered by {response:?}"));
+                self.ledger.violate(format!("{question:?} was answered by {response:?}"));
             }
         }
     }
 
     fn check_shown(&mut self, start_us: u64, offset: u64) {
-        let before = self.book.in_force.iter().filter(|(at_us, _)| *at_us <= start_us);
+        let before = self.ledger.in_force.iter().filter(|(at_us, _)| *at_us <= start_us);
         let newest = before.map(|(_, offset)| *offset).max().unwrap_or(0);
         if offset < newest {
-            self.book.violate(format!("a plan of {offset} was shown after {newest} was in force"));
+            self.ledger
+                .violate(format!("a plan of {offset} was shown after {newest} was in force"));
         }
     }
 
@@ -42,27 +43,29 @@
                 self.check_majority(handed, body);
                 if self.cling.as_ref().is_some_and(|cling| cling.is_order(handed)) {
                     self.operator.unsure.remove(&order.text);
-                    let found = self.book.orders.acknowledged(order);
-                    found.into_iter().for_each(|text| self.book.violate(text));
+                    let found = self.ledger.orders.acknowledged(order);
+                    found.into_iter().for_each(|text| self.ledger.violate(text));
                     self.plan_acknowledged(order.clone(), body);
                     self.cling.iter_mut().for_each(|cling| cling.order = None);
                 }
             }
             503 => {}
-            _ if proper => self.book.violate(format!("a proper order got {status}: {body}")),
+            _ if proper => self.ledger.violate(format!("a proper order got {status}: {body}")),
             _ => {}
         }
     }
 
     fn check_majority(&mut self, handed: &Handed, body: &str) {
         let Some(began) = crate::operator::began_at(body) else {
-            return self.book.violate(format!("{} is in force from nowhere", handed.order.version));
+            return self
+                .ledger
+                .violate(format!("{} is in force from nowhere", handed.order.version));
         };
         let has = |machine: &&crate::control::ControlMachine| {
             machine.node.as_ref().is_some_and(|node| node.consensus().last() >= began)
         };
         if self.control.iter().filter(has).count() < 2 {
-            self.book
+            self.ledger
                 .violate(format!("{} was acknowledged without a majority", handed.order.version));
         }
     }
@@ -76,11 +79,11 @@
             (Call::ReadKey { .. }, Outcome::Key(key)) => key.revision,
             (Call::ReadKey { .. }, Outcome::NoKey) => 0,
             (Call::Put { .. }, Outcome::Conflict { revision }) => *revision,
-            _ => return self.book.violate(format!("{call:?} was answered by {outcome:?}")),
+            _ => return self.ledger.violate(format!("{call:?} was answered by {outcome:?}")),
         };
         let most = self.callers.most_told(call, start_us);
         if value < most {
-            self.book.violate(format!("{call:?} was told {value}, after {most} was told"));
+            self.ledger.violate(format!("{call:?} was told {value}, after {most} was told"));
         }
     }
 }
--- a/crates/simulation/src/control.rs
+++ b/crates/simulation/src/control.rs
@@ -1,3 +1,5 @@
+//! Control machines: a real control node each, over a simulated disk and network.
+
 use crate::disk::SimDisk;
 use crate::event::{Event, Who};
 use crate::world::World;
--- a/crates/simulation/src/cut_off.rs
+++ b/crates/simulation/src/cut_off.rs
@@ -62,7 +62,7 @@
     /// Runs it; the same seed gives the same end.
     pub fn run(&self) -> CutOffEnded {
         let mut world = World::new(self.seed, 3, 6);
-        world.ask_pause_us = 250_000;
+        world.request_pause_us = 250_000;
         world.run_until(START_US);
         let leader = world.leader().unwrap_or(0);
         let term = world.term(leader);
@@ -124,18 +124,18 @@
     ) -> CutOffEnded {
         check_calls(&mut world);
         if recovery_ms == u64::MAX {
-            world.book.violate("no full service after the cut".into());
+            world.ledger.violate("no full service after the cut".into());
         }
         let Some(cling) = world.cling.take() else { return CutOffEnded::default() };
         check_numbers(&mut world, &cling);
         let overdue = cling.overdue(world.now_us);
         if overdue > 0 {
-            world.book.violate(format!("{overdue} questions never had an end"));
+            world.ledger.violate(format!("{overdue} questions never had an end"));
         }
         let noticed = (cut_us + NOTICED_US)..(cut_us + CUT_US);
         let waits = cling.waits_us.iter().filter(|(asked_us, _)| noticed.contains(asked_us));
         CutOffEnded {
-            violations: std::mem::take(&mut world.book.violations),
+            violations: std::mem::take(&mut world.ledger.violations),
             told: cling.told,
             unavailable: cling.unavailable,
             unclear: cling.unclear,
@@ -157,7 +157,7 @@
     let most = told.len() + cling.numbers_unclear;
     if told.len() != cling.numbers.len() || !(told.len()..=most).contains(&counted) {
         let (told, unclear) = (cling.numbers.len(), cling.numbers_unclear);
-        world.book.violate(format!("{counted} were counted, {told} told, {unclear} unclear"));
+        world.ledger.violate(format!("{counted} were counted, {told} told, {unclear} unclear"));
     }
 }
 
--- a/crates/simulation/src/data.rs
+++ b/crates/simulation/src/data.rs
@@ -1,3 +1,5 @@
+//! Data machines: a real data node each, with the requests that it serves.
+
 use crate::event::{Event, Who};
 use crate::world::{World, address};
 use postbarrow_node::{DataNode, Effect, Input};
@@ -114,7 +116,7 @@
                     let older = offset < machine.table.offset;
                     machine.table = Arc::new(Table::new(state, offset, &machine.table));
                     if older {
-                        self.book.violate(format!("data-{at} fell back to an older image"));
+                        self.ledger.violate(format!("data-{at} fell back to an older image"));
                     }
                     self.check_published(at);
                 }
@@ -122,10 +124,10 @@
                 Effect::Say(text) => self.say(Who::Data(at), &text),
                 Effect::Answer { key, response } => {
                     match self.data[at].waits.remove(&key).unwrap_or(Waits::Nobody) {
-                        Waits::Request(ask) => {
+                        Waits::Request(request) => {
                             let event = postbarrow_node::Event::Answered(response);
                             let life = self.data[at].life;
-                            self.after(0, Event::Go { ask, data: at, life, event });
+                            self.after(0, Event::Go { request, data: at, life, event });
                         }
                         Waits::Caller { caller, number } => {
                             self.caller_hears(caller, number, response)
@@ -137,10 +139,10 @@
         }
     }
 
-    pub fn ask_controller(
+    pub fn send_to_controller(
         &mut self,
         at: usize,
-        ask: postbarrow_messages::Request,
+        request: postbarrow_messages::Request,
         wait_ms: u64,
         waits: Waits,
     ) {
@@ -148,7 +150,7 @@
         machine.number += 1;
         let key = machine.number;
         machine.waits.insert(key, waits);
-        self.data_input(at, Input::Request { key, request: ask, wait_ms });
+        self.data_input(at, Input::Request { key, request, wait_ms });
     }
 
     pub fn probe(&mut self, at: usize, life: u64) {
--- a/crates/simulation/src/event.rs
+++ b/crates/simulation/src/event.rs
@@ -1,3 +1,5 @@
+//! What can happen next in a world, in the order of its time.
+
 use crate::cling::Question;
 use crate::fault::Fault;
 use crate::world::World;
@@ -43,24 +45,24 @@
         state: Vec<u8>,
     },
     Arrive {
-        ask: u64,
+        request: u64,
         data: usize,
         life: u64,
     },
     Go {
-        ask: u64,
+        request: u64,
         data: usize,
         life: u64,
         event: GoEvent,
     },
     Send {
-        ask: u64,
+        request: u64,
         data: usize,
         life: u64,
         until_ms: u64,
     },
     Run {
-        ask: u64,
+        request: u64,
         data: usize,
         life: u64,
         instance: String,
@@ -69,7 +71,7 @@
         data: usize,
         life: u64,
     },
-    NextAsk,
+    NextRequest,
     NextCall {
         caller: usize,
     },
--- a/crates/simulation/src/fault.rs
+++ b/crates/simulation/src/fault.rs
@@ -1,3 +1,5 @@
+//! The kinds of fault, and at which moments each may strike.
+
 use crate::disk::DiskTrouble;
 use crate::list::Trouble;
 
@@ -40,7 +42,7 @@
     Disk(DiskTrouble),
     /// Every sync takes 10 to 50 ms.
     SlowDisks,
-    /// A data node freezes at this step of a one-time ask, and wakes after every bound has passed.
+    /// A data node freezes at this step of a one-time request, and wakes after every bound has passed.
     FreezeAt(Stage),
     /// The platform's list itself is in trouble.
     List(Trouble),
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -1,3 +1,5 @@
+//! How each fault is brought about in a world.
+
 use crate::event::{Event, Who};
 use crate::fault::{Fault, Stage};
 use crate::world::World;
@@ -87,21 +89,21 @@
 
     pub fn freeze_before(&mut self, event: &Event) {
         let Some(stage) = self.freeze_before else { return };
-        let (data, ask, here) = match event {
-            Event::Arrive { data, ask, .. } => (*data, *ask, stage == Stage::Arrived),
-            Event::Send { data, ask, .. } => (*data, *ask, stage == Stage::Sending),
-            Event::Go { data, ask, event, .. } => {
+        let (data, request, here) = match event {
+            Event::Arrive { data, request, .. } => (*data, *request, stage == Stage::Arrived),
+            Event::Send { data, request, .. } => (*data, *request, stage == Stage::Sending),
+            Event::Go { data, request, event, .. } => {
                 let here = match event {
                     GoEvent::Connected => stage == Stage::Connected,
                     GoEvent::Answered(Response::Granted) => stage == Stage::Granted,
                     GoEvent::Passed(Passed::Whole(_)) => stage == Stage::Responded,
                     _ => false,
                 };
-                (*data, *ask, here)
+                (*data, *request, here)
             }
             _ => return,
         };
-        let one_time = self.asks.get(&ask).is_some_and(|run| run.service != "catalogue");
+        let one_time = self.requests.get(&request).is_some_and(|run| run.service != "catalogue");
         if here && one_time && !self.frozen.contains_key(&Who::Data(data)) {
             self.freeze_before = None;
             self.frozen.insert(Who::Data(data), Vec::new());
--- a/crates/simulation/src/history.rs
+++ b/crates/simulation/src/history.rs
@@ -1,3 +1,5 @@
+//! Numbers and watches over a whole run: what rose, what was left out.
+
 use crate::linear;
 use crate::world::World;
 use postbarrow_state::{Call, Outcome};
@@ -56,5 +58,5 @@
             found.push(format!("a watch was never told of revision {put}"));
         }
     }
-    found.into_iter().for_each(|text| world.book.violate(text));
+    found.into_iter().for_each(|text| world.ledger.violate(text));
 }
--- a/crates/simulation/src/book.rs
+++ b/crates/simulation/src/ledger.rs
@@ -1,4 +1,6 @@
-use crate::orders::OrderBook;
+//! What clients were told and what targets ran: the record that every check compares.
+
+use crate::orders::OrderLedger;
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,7 +47,7 @@
 }
 
 #[derive(Default)]
-struct Page {
+struct RequestRecord {
     one_time: bool,
     /// Sent twice at once under one key: what one go is told says nothing of the other.
     doubled: bool,
@@ -57,8 +59,8 @@
 
 /// What clients were told and what targets ran, compared at every entry.
 #[derive(Default)]
-pub struct Book {
-    pages: BTreeMap<u64, Page>,
+pub struct Ledger {
+    records: BTreeMap<u64, RequestRecord>,
     pub violations: Vec<String>,
     pub passes: u64,
     pub ran_us: Vec<u64>,
@@ -66,12 +68,12 @@
     pub in_force: Vec<(u64, u64)>,
     /// Plans refused or rehearsed only: version and number of routes, which data nodes know of one.
     pub refused: BTreeSet<(String, usize)>,
-    pub orders: OrderBook,
+    pub orders: OrderLedger,
     pub committed: BTreeMap<u64, u64>,
     pub longest_leave_us: u64,
 }
 
-impl Book {
+impl Ledger {
     pub fn violate(&mut self, text: String) {
         if self.violations.len() < 50 {
             self.violations.push(text);
@@ -79,27 +81,27 @@
     }
 
     pub fn asked(&mut self, id: u64, one_time: bool) {
-        self.pages.entry(id).or_default().one_time = one_time;
+        self.records.entry(id).or_default().one_time = one_time;
     }
 
     pub fn doubled(&mut self, id: u64) {
-        self.pages.entry(id).or_default().doubled = true;
+        self.records.entry(id).or_default().doubled = true;
     }
 
     pub fn ran(&mut self, id: u64, instance: &str, kind: &str, service: &str, now_us: u64) {
         let mut found = Vec::new();
         if kind != service {
-            found.push(format!("{instance} got ask {id} of {service}"));
+            found.push(format!("{instance} got request {id} of {service}"));
         }
-        match self.pages.get_mut(&id) {
-            None => found.push(format!("{instance} ran ask {id}, which nobody sent")),
-            Some(page) => {
-                page.runs.push(instance.to_string());
-                if page.one_time && page.runs.len() > 1 {
-                    found.push(format!("ask {id} ran at {}", page.runs.join(" and ")));
+        match self.records.get_mut(&id) {
+            None => found.push(format!("{instance} ran request {id}, which nobody sent")),
+            Some(record) => {
+                record.runs.push(instance.to_string());
+                if record.one_time && record.runs.len() > 1 {
+                    found.push(format!("request {id} ran at {}", record.runs.join(" and ")));
                 }
-                if page.one_time && !page.doubled && page.told.last() == Some(&Told::NotRun) {
-                    found.push(format!("ask {id} ran after it was told not run"));
+                if record.one_time && !record.doubled && record.told.last() == Some(&Told::NotRun) {
+                    found.push(format!("request {id} ran after it was told not run"));
                 }
             }
         }
@@ -108,24 +110,24 @@
     }
 
     pub fn told(&mut self, id: u64, told: Told) {
-        let Some(page) = self.pages.get_mut(&id) else { return };
-        page.told.push(told);
-        let ran = !page.runs.is_empty();
-        let ran_now = page.runs.len() > page.ran_before;
-        page.ran_before = page.runs.len();
-        if told == Told::NotRun && !page.one_time && ran_now {
+        let Some(record) = self.records.get_mut(&id) else { return };
+        record.told.push(told);
+        let ran = !record.runs.is_empty();
+        let ran_now = record.runs.len() > record.ran_before;
+        record.ran_before = record.runs.len();
+        if told == Told::NotRun && !record.one_time && ran_now {
             self.violate(format!("lookup {id} was told not run, but it ran"));
-        } else if told == Told::NotRun && page.one_time && !page.doubled && ran {
-            self.violate(format!("ask {id} was told not run, but it ran"));
+        } else if told == Told::NotRun && record.one_time && !record.doubled && ran {
+            self.violate(format!("request {id} was told not run, but it ran"));
         } else if told == Told::Ran && !ran {
-            self.violate(format!("ask {id} was told a success no target gave"));
+            self.violate(format!("request {id} was told a success no target gave"));
         }
     }
 
     /// How many requests ended in each way, by the last end that their client saw.
     pub fn ends(&self) -> Ends {
         let count = |end: Option<Told>| {
-            self.pages.values().filter(|page| page.told.last().copied() == end).count()
+            self.records.values().filter(|record| record.told.last().copied() == end).count()
         };
         Ends {
             ran: count(Some(Told::Ran)),
@@ -137,17 +139,17 @@
         }
     }
 
-    pub fn asks(&self) -> usize {
-        self.pages.len()
+    pub fn requests(&self) -> usize {
+        self.records.len()
     }
 
     /// Lookups that targets ran, and how many of those runs were extra.
     pub fn extra(&self) -> (usize, usize) {
-        let lookups = self.pages.values().filter(|page| !page.one_time);
-        lookups.fold((0, 0), |(asked, extra), page| {
+        let lookups = self.records.values().filter(|record| !record.one_time);
+        lookups.fold((0, 0), |(asked, extra), record| {
             (
-                asked + page.told.len().max(1),
-                extra + page.runs.len().saturating_sub(page.told.len().max(1)),
+                asked + record.told.len().max(1),
+                extra + record.runs.len().saturating_sub(record.told.len().max(1)),
             )
         })
     }
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -1,7 +1,5 @@
 #![doc = include_str!("../README.md")]
 
-mod asks;
-mod book;
 mod calls;
 mod check;
 mod cling;
@@ -14,6 +12,7 @@
 mod fault;
 mod faults;
 mod history;
+mod ledger;
 mod linear;
 mod list;
 mod net;
@@ -22,6 +21,7 @@
 mod passing;
 mod random;
 mod replacement;
+mod requests;
 mod roll;
 mod scenario;
 pub mod search;
@@ -30,13 +30,13 @@
 mod targets;
 mod world;
 
-pub use book::Ends;
 pub use control::ControlMachine;
 pub use cut_off::{Cut, CutOff, CutOffEnded};
 pub use disk::{DiskTrouble, SimDisk};
 pub use fault::{ALL, Fault, Stage};
+pub use ledger::Ends;
 pub use list::Trouble;
-pub use orders::{Order, OrderBook};
+pub use orders::{Order, OrderLedger};
 pub use random::Random;
 pub use replacement::{Replaced, Replacement};
 pub use scenario::{Ended, Scenario};
--- a/crates/simulation/src/list.rs
+++ b/crates/simulation/src/list.rs
@@ -1,3 +1,5 @@
+//! The platform's list of targets: paged, lagging, limited, and at times in trouble.
+
 use crate::event::Event;
 use crate::world::World;
 use postbarrow_controller::{Fetched, PageResult};
--- a/crates/simulation/src/net.rs
+++ b/crates/simulation/src/net.rs
@@ -1,3 +1,5 @@
+//! The network between machines: delays, loss, one-way cuts, and order within each link.
+
 use crate::random::Random;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
--- a/crates/simulation/src/operator.rs
+++ b/crates/simulation/src/operator.rs
@@ -1,3 +1,5 @@
+//! Operators that submit plans, race each other, lose answers and send orders again.
+
 use crate::event::Event;
 use crate::orders::Order;
 use crate::world::World;
@@ -160,7 +162,8 @@
 
     /// An order that was acknowledged and one that was refused are sent again as they were.
     fn send_old_orders(&mut self) {
-        let (taken, refused) = (self.book.orders.taken_orders(), self.book.orders.refused_orders());
+        let (taken, refused) =
+            (self.ledger.orders.taken_orders(), self.ledger.orders.refused_orders());
         let mut old = Vec::new();
         for orders in [taken, refused] {
             if !orders.is_empty() {
@@ -178,7 +181,7 @@
         let text = plan_text(&version, base.as_deref(), routes, empty);
         let routes = routes as usize + ROUTES;
         if dry || empty {
-            self.book.refused.insert((version.clone(), routes));
+            self.ledger.refused.insert((version.clone(), routes));
         }
         self.operator.texts.insert(version.clone(), text.clone());
         let purpose = if dry { Purpose::DryRun } else { Purpose::Change };
@@ -216,8 +219,9 @@
         self.operator_asks(key, Request::Show);
     }
 
-    fn operator_asks(&mut self, key: u64, ask: Request) {
-        let effects = self.operator.controller_client.ask(self.now_us / 1_000, key, ask, WAIT_MS);
+    fn operator_asks(&mut self, key: u64, request: Request) {
+        let effects =
+            self.operator.controller_client.ask(self.now_us / 1_000, key, request, WAIT_MS);
         self.operator_does(effects);
     }
 
@@ -260,8 +264,8 @@
             }
             (200, purpose) => {
                 let lost = !self.quiet && self.random.chance(ACKNOWLEDGEMENTS_LOST_PER_MILLE);
-                let found = self.book.orders.acknowledged(&order);
-                found.into_iter().for_each(|text| self.book.violate(text));
+                let found = self.ledger.orders.acknowledged(&order);
+                found.into_iter().for_each(|text| self.ledger.violate(text));
                 if lost && purpose == Purpose::Change {
                     return self.submit_elsewhere(Handed { purpose: Purpose::Repeat, ..handed });
                 }
@@ -271,8 +275,8 @@
             (_, purpose) => {
                 self.operator.unsure.remove(&order.text);
                 if purpose != Purpose::DryRun {
-                    let found = self.book.orders.refused(&order);
-                    found.into_iter().for_each(|text| self.book.violate(text));
+                    let found = self.ledger.orders.refused(&order);
+                    found.into_iter().for_each(|text| self.ledger.violate(text));
                 }
                 self.plan_refused(&handed, &text);
             }
@@ -282,7 +286,7 @@
     fn plan_refused(&mut self, handed: &Handed, text: &str) {
         self.operator.refusals += 1;
         if handed.purpose != Purpose::Repeat {
-            self.book.refused.insert((handed.order.version.clone(), handed.routes));
+            self.ledger.refused.insert((handed.order.version.clone(), handed.routes));
         }
         (0..self.data.len()).for_each(|at| self.check_published(at));
         let named = text.split("\"versionInForce\":\"").nth(1);
@@ -295,7 +299,7 @@
     pub fn plan_acknowledged(&mut self, order: Order, text: &str) {
         let began = began_at(text);
         self.operator.acknowledged += 1;
-        self.book.in_force.push((self.now_us, began.unwrap_or(0)));
+        self.ledger.in_force.push((self.now_us, began.unwrap_or(0)));
         self.operator.texts.insert(order.version.clone(), order.text);
         if text.contains("\"inForce\":true") {
             self.operator.learn(order.version);
--- a/crates/simulation/src/orders.rs
+++ b/crates/simulation/src/orders.rs
@@ -12,14 +12,14 @@
 
 /// Orders acknowledged and refused so far. Each check gives what it finds wrong.
 #[derive(Debug, Default)]
-pub struct OrderBook {
+pub struct OrderLedger {
     by_version: BTreeMap<String, String>,
     by_base: BTreeMap<Option<String>, String>,
     taken: BTreeSet<Order>,
     refused: BTreeSet<Order>,
 }
 
-impl OrderBook {
+impl OrderLedger {
     pub fn acknowledged(&mut self, order: &Order) -> Vec<String> {
         let mut found = Vec::new();
         let known = self.by_version.entry(order.version.clone()).or_insert(order.text.clone());
--- a/crates/simulation/src/passing.rs
+++ b/crates/simulation/src/passing.rs
@@ -1,3 +1,5 @@
+//! A request on its connection to a target, and what the target does with it.
+
 use crate::event::{Event, Who};
 use crate::world::World;
 use postbarrow_node::{Passed, TargetResponse};
@@ -6,10 +8,10 @@
 /// The way from a node to a target and back.
 impl World {
     /// The connection's other end says who it is before anything is sent.
-    pub fn connect(&mut self, ask: u64, data: usize, target: &Target) {
+    pub fn connect(&mut self, request: u64, data: usize, target: &Target) {
         let life = self.data[data].life;
         let found = self.target_at(target.address).map(|found| found.instance.clone());
-        if let Some(run) = self.asks.get_mut(&ask) {
+        if let Some(run) = self.requests.get_mut(&request) {
             run.connected = found;
         }
         let (took_us, event) = match self.target_at(target.address) {
@@ -22,33 +24,34 @@
             }
             Some(_) => (1_200, postbarrow_node::Event::Connected),
         };
-        self.after(took_us, Event::Go { ask, data, life, event });
+        self.after(took_us, Event::Go { request, data, life, event });
     }
 
     /// The look right before the first byte, then the bytes.
-    pub fn send(&mut self, ask: u64, data: usize, until_ms: u64) {
+    pub fn send(&mut self, request: u64, data: usize, until_ms: u64) {
         let life = self.data[data].life;
         let now_ms = self.local_ms(Who::Data(data));
-        let Some((target, load)) = self.asks.get(&ask).and_then(|run| run.target.clone()) else {
+        let Some((target, load)) = self.requests.get(&request).and_then(|run| run.target.clone())
+        else {
             return;
         };
-        let service = Name::from(self.asks[&ask].service);
+        let service = Name::from(self.requests[&request].service);
         let allowed = self.data[data].table.allows(&service, &target.instance);
         if !(allowed && now_ms < until_ms && self.serves(data)) {
             let event = postbarrow_node::Event::Passed(Passed::Unsent("the gate is shut".into()));
-            return self.after(0, Event::Go { ask, data, life, event });
+            return self.after(0, Event::Go { request, data, life, event });
         }
-        self.check_pass(ask, data);
-        let Some(run) = self.asks.get_mut(&ask) else { return };
+        self.check_pass(request, data);
+        let Some(run) = self.requests.get_mut(&request) else { return };
         load.enter();
         let Some(instance) = run.connected.clone() else { return };
         let delay_us = self.random.between(200, 900);
-        self.after(delay_us, Event::Run { ask, data, life, instance });
+        self.after(delay_us, Event::Run { request, data, life, instance });
     }
 
     /// The bytes reach the target, or the connection has broken under way: then nobody can say.
-    pub fn run(&mut self, ask: u64, data: usize, life: u64, instance: &str) {
-        let Some(run) = self.asks.get(&ask) else { return };
+    pub fn run(&mut self, request: u64, data: usize, life: u64, instance: &str) {
+        let Some(run) = self.requests.get(&request) else { return };
         let (id, service) = (run.id, run.service);
         if let Some((_, load)) = &run.target {
             load.leave();
@@ -64,10 +67,10 @@
         let (took_us, passed) = if !alive {
             (300, failed(false, "broken"))
         } else if frozen {
-            self.book.ran(id, instance, &kind, service, self.now_us);
+            self.ledger.ran(id, instance, &kind, service, self.now_us);
             (4_000_000, failed(true, "late"))
         } else {
-            self.book.ran(id, instance, &kind, service, self.now_us);
+            self.ledger.ran(id, instance, &kind, service, self.now_us);
             let took_us = self.random.between(1_000, 6_000);
             if lost < lossy {
                 (took_us, failed(false, "the response is lost"))
@@ -77,6 +80,6 @@
             }
         };
         let event = postbarrow_node::Event::Passed(passed);
-        self.after(took_us, Event::Go { ask, data, life, event });
+        self.after(took_us, Event::Go { request, data, life, event });
     }
 }
--- a/crates/simulation/src/random.rs
+++ b/crates/simulation/src/random.rs
@@ -1,3 +1,5 @@
+//! A small generator of numbers, the same on every machine for one seed.
+
 /// Every draw of a run comes from its seed.
 #[derive(Clone, Debug)]
 pub struct Random(u64);
--- a/crates/simulation/src/replacement.rs
+++ b/crates/simulation/src/replacement.rs
@@ -37,7 +37,7 @@
 const OVERLAP_US: u64 = 1_000_000;
 /// A newcomer that dies half-way has lived so long.
 const HALF_WAY_US: u64 = 700_000;
-/// An ask comes every so often: enough to see each node served.
+/// A request comes every so often: enough to see each node served.
 const ASK_PAUSE_US: u64 = 100_000;
 const LOOK_US: u64 = 20_000;
 /// Nobody leads any more if nobody does by then.
@@ -53,7 +53,7 @@
     pub fn run(&self) -> Replaced {
         let mut world = World::new(self.seed, 2, 9);
         world.set_core_bounds(self.losses, self.catch_up_ms() / 2);
-        world.ask_pause_us = ASK_PAUSE_US;
+        world.request_pause_us = ASK_PAUSE_US;
         world.run_until(6_000_000);
         while world.control.len() < 2 * self.losses + 1 {
             world.add_control();
--- a/crates/simulation/src/asks.rs
+++ b/crates/simulation/src/requests.rs
@@ -1,6 +1,8 @@
-use crate::book::Told;
+//! Clients' requests on their way through data nodes.
+
 use crate::data::Waits;
 use crate::event::{Event, Who};
+use crate::ledger::Told;
 use crate::world::World;
 use postbarrow_constants::coordination::SETTLE_WAIT_MS;
 use postbarrow_messages::Request;
@@ -9,8 +11,8 @@
 use postbarrow_state::{Name, Target};
 use std::sync::Arc;
 
-/// One ask on its way through a node.
-pub struct AskRun {
+/// One request on its way through a node.
+pub struct RequestRun {
     pub id: u64,
     pub keyed: bool,
     pub goes: u32,
@@ -25,7 +27,7 @@
     pub connected: Option<String>,
 }
 
-impl AskRun {
+impl RequestRun {
     pub fn is_at_work(&self, data: usize) -> bool {
         self.data == data && self.course.is_some()
     }
@@ -50,21 +52,21 @@
 ];
 
 impl World {
-    pub fn next_ask(&mut self) {
-        if self.quiet && self.ask_pause_us == 0 {
+    pub fn next_request(&mut self) {
+        if self.quiet && self.request_pause_us == 0 {
             return;
         }
-        self.next_ask += 1;
-        let id = self.next_ask;
+        self.next_request += 1;
+        let id = self.next_request;
         let (_, _, service) = SERVICES[self.random.below(3) as usize];
         let keyed = self.random.chance(500);
         self.client_sends(id, service, keyed, 0);
         if keyed && self.random.chance(50) {
-            self.book.doubled(id);
+            self.ledger.doubled(id);
             self.client_sends(id, service, keyed, 0);
         }
-        let pause_us = self.random.below(2 * self.ask_pause_us) + 1;
-        self.after(pause_us, Event::NextAsk);
+        let pause_us = self.random.below(2 * self.request_pause_us) + 1;
+        self.after(pause_us, Event::NextRequest);
     }
 
     /// The platform gives clients to ready nodes; now and then it is a little behind.
@@ -73,14 +75,14 @@
         let behind = |at: usize| any && self.now_us < self.data[at].ready_us + BEHIND_US;
         let nodes: Vec<usize> =
             (0..self.data.len()).filter(|at| behind(*at) || self.is_ready(*at)).collect();
-        self.book.asked(id, service != "catalogue");
+        self.ledger.asked(id, service != "catalogue");
         if nodes.is_empty() {
-            return self.book.told(id, Told::Unreached);
+            return self.ledger.told(id, Told::Unreached);
         }
         let data = nodes[self.random.below(nodes.len() as u64) as usize];
-        let ask = self.asks.len() as u64;
+        let request = self.requests.len() as u64;
         let life = self.data[data].life;
-        let run = AskRun {
+        let run = RequestRun {
             id,
             keyed,
             goes,
@@ -92,37 +94,41 @@
             target: None,
             connected: None,
         };
-        self.asks.insert(ask, run);
-        self.after(500, Event::Arrive { ask, data, life });
+        self.requests.insert(request, run);
+        self.after(500, Event::Arrive { request, data, life });
     }
 
     /// Requests that a node took, in its present life, and did not answer in time.
     pub fn overdue(&self) -> Vec<u64> {
-        let overdue = |run: &&AskRun| {
+        let overdue = |run: &&RequestRun| {
             let same_life = self.data[run.data].life == run.life;
             same_life && run.course.is_some() && run.answer_due_us < self.now_us
         };
-        self.asks.values().filter(overdue).map(|run| run.id).collect()
+        self.requests.values().filter(overdue).map(|run| run.id).collect()
     }
 
-    pub fn ask_arrives(&mut self, ask: u64, data: usize, life: u64) {
-        let Some(run) = self.asks.get(&ask) else { return };
+    pub fn request_arrives(&mut self, request: u64, data: usize, life: u64) {
+        let Some(run) = self.requests.get(&request) else { return };
         let (id, service, keyed) = (run.id, run.service, run.keyed);
         if self.data[data].life != life {
-            return self.book.told(id, Told::Unreached);
+            return self.ledger.told(id, Told::Unreached);
         }
         let one_time = service != "catalogue";
         let about = About { one_time, keyed, ..About::default() };
         if !self.serves(data) {
-            return self
-                .end_ask(ask, Verdict { told: postbarrow_node::Told::Unready, about, key: None });
+            return self.end_request(
+                request,
+                Verdict { told: postbarrow_node::Told::Unready, about, key: None },
+            );
         }
         let table = self.data[data].table.clone();
         let (method, path, _) =
             *SERVICES.iter().find(|row| row.2 == service).unwrap_or(&SERVICES[0]);
         let Found::Route(entry) = table.find(method, path, &[]) else {
-            return self
-                .end_ask(ask, Verdict { told: postbarrow_node::Told::NoRoute, about, key: None });
+            return self.end_request(
+                request,
+                Verdict { told: postbarrow_node::Told::NoRoute, about, key: None },
+            );
         };
         let until_ms = self.local_ms(Who::Data(data)) + entry.route().deadline_ms;
         let seed = self.random.draw();
@@ -142,50 +148,53 @@
             until_ms,
             seed,
         };
-        if let Some(run) = self.asks.get_mut(&ask) {
+        if let Some(run) = self.requests.get_mut(&request) {
             run.answer_due_us = self.now_us + answer_bound_us(entry.route().deadline_ms);
             run.course = Some(Course::new(go, entry));
         }
-        self.go_on(ask, data, postbarrow_node::Event::Start);
+        self.go_on(request, data, postbarrow_node::Event::Start);
     }
 
-    pub fn go_on(&mut self, ask: u64, data: usize, event: postbarrow_node::Event) {
+    pub fn go_on(&mut self, request: u64, data: usize, event: postbarrow_node::Event) {
         let now_ms = self.local_ms(Who::Data(data));
         let serves = self.serves(data);
         self.data[data].number += 1;
         let number = self.data[data].number;
         let table = self.data[data].table.clone();
-        let Some(run) = self.asks.get_mut(&ask) else { return };
+        let Some(run) = self.requests.get_mut(&request) else { return };
         let Some(course) = &mut run.course else { return };
         let now = Now { now_ms, table: &table, serves, number };
         match course.handle(&now, event) {
             Step::Connect { target, load, .. } => {
                 run.target = Some((target.clone(), load));
-                self.connect(ask, data, &target);
-            }
-            Step::AskTicket { ticket, wait_ms } => {
-                self.ask_controller(data, Request::Ticket(ticket), wait_ms, Waits::Request(ask))
+                self.connect(request, data, &target);
             }
+            Step::AskTicket { ticket, wait_ms } => self.send_to_controller(
+                data,
+                Request::Ticket(ticket),
+                wait_ms,
+                Waits::Request(request),
+            ),
             Step::Settle { ticket, settlement, response, wait_ms } => {
                 let settle = Request::Settle { ticket, settlement, response };
-                self.ask_controller(data, settle, wait_ms, Waits::Request(ask));
+                self.send_to_controller(data, settle, wait_ms, Waits::Request(request));
             }
             Step::Pass { until_ms, .. } => {
                 let life = self.data[data].life;
-                self.after(20, Event::Send { ask, data, life, until_ms });
+                self.after(20, Event::Send { request, data, life, until_ms });
             }
             Step::Done { verdict, settle } => {
                 if let Some((ticket, settlement, response)) = settle {
                     let settle = Request::Settle { ticket, settlement, response };
-                    self.ask_controller(data, settle, SETTLE_WAIT_MS, Waits::Nobody);
+                    self.send_to_controller(data, settle, SETTLE_WAIT_MS, Waits::Nobody);
                 }
-                self.end_ask(ask, verdict);
+                self.end_request(request, verdict);
             }
         }
     }
 
-    fn end_ask(&mut self, ask: u64, verdict: Verdict) {
-        let Some(run) = self.asks.get_mut(&ask) else { return };
+    fn end_request(&mut self, request: u64, verdict: Verdict) {
+        let Some(run) = self.requests.get_mut(&request) else { return };
         run.course = None;
         let (id, keyed, goes, service) = (run.id, run.keyed, run.goes, run.service);
         let response = verdict.into_response();
@@ -200,9 +209,9 @@
             _ => Told::Unknown,
         };
         if told == Told::Ran && header("x-id") != Some(id.to_string()) {
-            self.book.violate(format!("ask {id} was given another's response"));
+            self.ledger.violate(format!("request {id} was given another's response"));
         }
-        self.book.told(id, told);
+        self.ledger.told(id, told);
         let again = matches!(told, Told::Unknown | Told::Pending);
         if keyed && again && goes < 3 {
             self.client_sends(id, service, true, goes + 1);
--- a/crates/simulation/src/roll.rs
+++ b/crates/simulation/src/roll.rs
@@ -1,3 +1,5 @@
+//! Planned stops and starts of machines.
+
 use crate::event::{Event, Who};
 use crate::world::World;
 use postbarrow_constants::consensus::HAND_OVER_MS;
@@ -33,7 +35,7 @@
             Who::Data(at) => {
                 let machine = &self.data[at];
                 let open = machine.node.as_ref().map_or(0, |node| node.open_asks());
-                let at_work = self.asks.values().any(|ask| ask.is_at_work(at));
+                let at_work = self.requests.values().any(|request| request.is_at_work(at));
                 (machine.life == life, (open == 0 && !at_work) || past_ms >= STOP_WAIT_MS)
             }
         };
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -1,7 +1,9 @@
-use crate::book::Ends;
+//! One run: a world, the faults drawn for it, the wait for full service, the final checks.
+
 use crate::event::Event;
 use crate::fault::{ALL, Fault};
 use crate::history::check_calls;
+use crate::ledger::Ends;
 use crate::random::Random;
 use crate::world::World;
 use std::collections::BTreeSet;
@@ -30,7 +32,7 @@
 pub struct Ended {
     pub violations: Vec<String>,
     pub recovery_ms: u64,
-    pub asks: usize,
+    pub requests: usize,
     pub told: Ends,
     pub passes: u64,
     pub plans: u64,
@@ -106,7 +108,7 @@
             world.bring(last);
         }
         let mut outcome = Ended { recovery_ms: recover(&mut world), ..Ended::default() };
-        world.ask_pause_us = 0;
+        world.request_pause_us = 0;
         let end_us = world.now_us + 6_000_000;
         world.run_until(end_us);
         world.show();
@@ -119,14 +121,14 @@
     }
 }
 
-/// Full service: all nodes ready on one version, and asks of each kind run.
+/// Full service: all nodes ready on one version, and requests of each kind run.
 pub(crate) fn recover(world: &mut World) -> u64 {
     let start_us = world.now_us;
     let mut well_us = None;
     while world.now_us < start_us + 2 * RECOVERY_MS * 1_000 {
         let next_us = world.now_us + 50_000;
         world.run_until(next_us);
-        let ran = world.book.ran_us.last().is_some_and(|ran_us| ran_us + 500_000 > world.now_us);
+        let ran = world.ledger.ran_us.last().is_some_and(|ran_us| ran_us + 500_000 > world.now_us);
         match (world.is_well() && ran, well_us) {
             (true, None) => well_us = Some(world.now_us),
             (true, Some(since_us)) if world.now_us > since_us + 1_000_000 => break,
@@ -144,8 +146,8 @@
         (0..self.data.len()).all(|at| self.is_ready(at)) && versions.len() == 1
     }
 
-    pub fn target_of(&self, ask: u64) -> Option<String> {
-        self.asks.get(&ask)?.target_name()
+    pub fn target_of(&self, request: u64) -> Option<String> {
+        self.requests.get(&request)?.target_name()
     }
 }
 
@@ -156,20 +158,20 @@
     check_calls(world);
     check_plan(world);
     check_answers(world);
-    let (lookups, extra) = world.book.extra();
+    let (lookups, extra) = world.ledger.extra();
     if extra as f64 > lookups as f64 / 5.0 + 3.0 * world.now_us as f64 / 1e6 {
-        world.book.violate(format!("{extra} extra goes for {lookups} lookups"));
+        world.ledger.violate(format!("{extra} extra goes for {lookups} lookups"));
     }
-    outcome.violations.append(&mut world.book.violations);
-    outcome.asks = world.book.asks();
-    outcome.told = world.book.ends();
-    outcome.passes = world.book.passes;
+    outcome.violations.append(&mut world.ledger.violations);
+    outcome.requests = world.ledger.requests();
+    outcome.told = world.ledger.ends();
+    outcome.passes = world.ledger.passes;
     outcome.plans = world.operator.acknowledged;
     outcome.refusals = world.operator.refusals;
     outcome.calls = world.callers.done.len();
     outcome.events = world.callers.told.len();
     outcome.extra = (lookups, extra);
-    outcome.longest_leave_ms = world.book.longest_leave_us / 1_000;
+    outcome.longest_leave_ms = world.ledger.longest_leave_us / 1_000;
     let leader = world
         .control
         .iter()
@@ -188,18 +190,18 @@
 /// A node that lives on answers every request that it took.
 fn check_answers(world: &mut World) {
     for id in world.overdue() {
-        world.book.violate(format!("ask {id} got no answer from a node that lives"));
+        world.ledger.violate(format!("request {id} got no answer from a node that lives"));
     }
 }
 
 fn check_plan(world: &mut World) {
     let Some(shown) = world.operator.shown.clone() else {
-        return world.book.violate("the plan does not read back".into());
+        return world.ledger.violate("the plan does not read back".into());
     };
     let last =
         world.operator.version.as_ref().and_then(|version| world.operator.texts.get(version));
     let unsure = world.operator.unsure.iter().any(|text| *text == shown);
     if last != Some(&shown) && !unsure {
-        world.book.violate("the plan in force is not the one last acknowledged".into());
+        world.ledger.violate("the plan in force is not the one last acknowledged".into());
     }
 }
--- a/crates/simulation/src/search/forwarded.rs
+++ b/crates/simulation/src/search/forwarded.rs
@@ -93,7 +93,7 @@
         }
     }
 
-    fn asks(&self, state: &mut ForwardedState, at: usize) {
+    fn requests(&self, state: &mut ForwardedState, at: usize) {
         let Question { client, id, call, .. } = self.questions[at].clone();
         state.progress[at] = Progress::Open { number: state.number() };
         let request = Request::Call { id, call };
@@ -215,7 +215,7 @@
         use ForwardedAction::*;
         let mut next = state.clone();
         match *action {
-            Asks(at) => self.asks(&mut next, at),
+            Asks(at) => self.requests(&mut next, at),
             Arrives(at) => self.arrives(&mut next, at),
             IsLost(at) => {
                 next.losses -= 1;
--- a/crates/simulation/src/search/forwarded_log.rs
+++ b/crates/simulation/src/search/forwarded_log.rs
@@ -3,7 +3,7 @@
 //! The log's records, how they change the state and what a call decides are the real ones; the
 //! way of a write through a node mirrors `crates/controller/src/calls.rs` (`on_write`) and
 //! `lead.rs` (`reply_at`, `reply_settled`, and what is told on losing the lead). A cut-off node
-//! answers from what it knows: the hold that the real one asks for is left out, so that the search
+//! answers from what it knows: the hold that the real one requests for is left out, so that the search
 //! sees more than the real nodes do.
 
 use postbarrow_controller::decide;
--- a/crates/simulation/src/steps.rs
+++ b/crates/simulation/src/steps.rs
@@ -1,3 +1,5 @@
+//! Runs in which the controller is struck at one chosen step of a plan, member change or slot.
+
 use crate::event::{Event, Who};
 use crate::fault::Fault;
 use crate::scenario::{Ended, finish, recover};
@@ -52,7 +54,7 @@
     /// The run's end, or None if the controller had fewer steps to take.
     pub fn run(&self) -> Option<Ended> {
         let mut world = World::new(self.seed, 5, 12);
-        world.ask_pause_us = 50_000;
+        world.request_pause_us = 50_000;
         world.run_until(6_000_000);
         world.quiet = true;
         let Step { what, how, at, .. } = *self;
--- a/crates/simulation/src/targets.rs
+++ b/crates/simulation/src/targets.rs
@@ -1,3 +1,5 @@
+//! Targets that run requests, crash, freeze and pass their address on.
+
 use crate::list::Row;
 use crate::world::{World, address};
 use std::net::SocketAddr;
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -1,15 +1,17 @@
-use crate::asks::AskRun;
-use crate::book::Book;
+//! All machines, clients and faults of one simulated run, and the queue of its events.
+
 use crate::calls::Callers;
 use crate::cling::Cling;
 use crate::control::ControlMachine;
 use crate::data::DataMachine;
 use crate::event::{Event, Who};
 use crate::fault::Stage;
+use crate::ledger::Ledger;
 use crate::list::PlatformList;
 use crate::net::Net;
 use crate::operator::Operator;
 use crate::random::Random;
+use crate::requests::RequestRun;
 use crate::slow::SlowMachine;
 use crate::steps::Strike;
 use crate::targets::Target;
@@ -36,14 +38,14 @@
     pub operator: Operator,
     pub callers: Callers,
     pub(crate) cling: Option<Cling>,
-    pub asks: BTreeMap<u64, AskRun>,
-    pub book: Book,
+    pub requests: BTreeMap<u64, RequestRun>,
+    pub ledger: Ledger,
     pub seeds: Vec<SocketAddr>,
     pub frozen: BTreeMap<Who, Vec<Event>>,
-    /// The next node about to take this step of an ask freezes right before it.
+    /// The next node about to take this step of a request freezes right before it.
     pub freeze_before: Option<Stage>,
-    pub next_ask: u64,
-    pub ask_pause_us: u64,
+    pub next_request: u64,
+    pub request_pause_us: u64,
     pub quiet: bool,
     pub log: Option<Vec<String>>,
     pub digest: u64,
@@ -80,13 +82,13 @@
             operator: Operator::new(address(3, 0, 1)),
             callers: Callers::default(),
             cling: None,
-            asks: BTreeMap::new(),
-            book: Book::default(),
+            requests: BTreeMap::new(),
+            ledger: Ledger::default(),
             seeds: (0..3).map(|at| address(1, at, 1)).collect(),
             frozen: BTreeMap::new(),
             freeze_before: None,
-            next_ask: 0,
-            ask_pause_us: 12_000,
+            next_request: 0,
+            request_pause_us: 12_000,
             quiet: false,
             log: None,
             digest: 0,
@@ -122,7 +124,7 @@
             world.start_data(at);
         }
         world.after(2_500_000, Event::Operate);
-        world.after(3_000_000, Event::NextAsk);
+        world.after(3_000_000, Event::NextRequest);
         for caller in 0..4 {
             world.after(3_000_000, Event::NextCall { caller });
         }
@@ -205,20 +207,22 @@
                 self.control_input(at, ControlInput::Encoded { index, state })
             }
             Event::Synced { .. } | Event::Page { .. } | Event::Encoded { .. } => {}
-            Event::Arrive { ask, data, life } => self.ask_arrives(ask, data, life),
-            Event::Go { ask, data, life, event } => {
+            Event::Arrive { request, data, life } => self.request_arrives(request, data, life),
+            Event::Go { request, data, life, event } => {
                 if self.data[data].life == life {
-                    self.go_on(ask, data, event);
+                    self.go_on(request, data, event);
                 }
             }
-            Event::Send { ask, data, life, until_ms } => {
+            Event::Send { request, data, life, until_ms } => {
                 if self.data[data].life == life {
-                    self.send(ask, data, until_ms);
+                    self.send(request, data, until_ms);
                 }
             }
-            Event::Run { ask, data, life, instance } => self.run(ask, data, life, &instance),
+            Event::Run { request, data, life, instance } => {
+                self.run(request, data, life, &instance)
+            }
             Event::Probe { data, life } => self.probe(data, life),
-            Event::NextAsk => self.next_ask(),
+            Event::NextRequest => self.next_request(),
             Event::NextCall { caller } => self.next_call(caller),
             Event::Operate => self.operate(),
             Event::Cling => self.cling(),
--- a/crates/simulation/tests/disks.rs
+++ b/crates/simulation/tests/disks.rs
@@ -39,6 +39,6 @@
             assert!(leader.is_some_and(|leader| leader != stalled), "seed {seed}: {leader:?}");
         }
         assert_eq!(world.control[stalled].life, life, "seed {seed}: its process ended");
-        assert!(world.book.violations.is_empty(), "seed {seed}: {:?}", world.book.violations);
+        assert!(world.ledger.violations.is_empty(), "seed {seed}: {:?}", world.ledger.violations);
     }
 }
--- a/crates/simulation/tests/many_changes.rs
+++ b/crates/simulation/tests/many_changes.rs
@@ -31,7 +31,7 @@
     fn new(seed: u64, routes: u64) -> Run {
         let mut world = World::new(seed, 1, 3);
         world.quiet = true;
-        world.ask_pause_us = 0;
+        world.request_pause_us = 0;
         world.run_until(8_000_000);
         let mut run = Run { world, handed: 0, routes, pause_us: 0, due_us: 0 };
         assert!(run.leader().is_some() && run.world.operator.version.is_some(), "it is in force");
@@ -91,7 +91,7 @@
     }
 
     fn check(&self) {
-        assert!(self.world.book.violations.is_empty(), "{:#?}", self.world.book.violations);
+        assert!(self.world.ledger.violations.is_empty(), "{:#?}", self.world.ledger.violations);
     }
 }
 
--- a/crates/simulation/tests/orders.rs
+++ b/crates/simulation/tests/orders.rs
@@ -1,6 +1,6 @@
-//! The order book finds each breach of what operators may rely on.
+//! The order ledger finds each breach of what operators may rely on.
 
-use postbarrow_simulation::{Order, OrderBook};
+use postbarrow_simulation::{Order, OrderLedger};
 
 fn order(version: &str, base: Option<&str>, text: &str) -> Order {
     Order { version: version.into(), base: base.map(Into::into), text: text.into() }
@@ -8,36 +8,36 @@
 
 #[test]
 fn the_same_answer_again_is_no_breach() {
-    let mut book = OrderBook::default();
+    let mut ledger = OrderLedger::default();
     let (taken, loser) = (order("v1", None, "a"), order("v1", None, "b"));
     for _ in 0..2 {
-        assert!(book.acknowledged(&taken).is_empty());
-        assert!(book.refused(&loser).is_empty());
+        assert!(ledger.acknowledged(&taken).is_empty());
+        assert!(ledger.refused(&loser).is_empty());
     }
-    assert_eq!(book.taken_orders(), [&taken]);
-    assert_eq!(book.refused_orders(), [&loser]);
+    assert_eq!(ledger.taken_orders(), [&taken]);
+    assert_eq!(ledger.refused_orders(), [&loser]);
 }
 
 #[test]
 fn two_texts_under_one_version_are_a_breach() {
-    let mut book = OrderBook::default();
-    assert!(book.acknowledged(&order("v1", None, "a")).is_empty());
-    assert_eq!(book.acknowledged(&order("v1", None, "b")).len(), 1);
+    let mut ledger = OrderLedger::default();
+    assert!(ledger.acknowledged(&order("v1", None, "a")).is_empty());
+    assert_eq!(ledger.acknowledged(&order("v1", None, "b")).len(), 1);
 }
 
 #[test]
 fn two_versions_on_one_base_are_a_breach() {
-    let mut book = OrderBook::default();
-    assert!(book.acknowledged(&order("v2", Some("v1"), "a")).is_empty());
-    assert_eq!(book.acknowledged(&order("v3", Some("v1"), "b")).len(), 1);
+    let mut ledger = OrderLedger::default();
+    assert!(ledger.acknowledged(&order("v2", Some("v1"), "a")).is_empty());
+    assert_eq!(ledger.acknowledged(&order("v3", Some("v1"), "b")).len(), 1);
 }
 
 #[test]
 fn a_taken_order_refused_and_a_refused_one_taken_are_breaches() {
-    let mut book = OrderBook::default();
+    let mut ledger = OrderLedger::default();
     let (taken, refused) = (order("v1", None, "a"), order("v2", Some("v1"), "b"));
-    assert!(book.acknowledged(&taken).is_empty());
-    assert_eq!(book.refused(&taken).len(), 1);
-    assert!(book.refused(&refused).is_empty());
-    assert_eq!(book.acknowledged(&refused).len(), 1);
+    assert!(ledger.acknowledged(&taken).is_empty());
+    assert_eq!(ledger.refused(&taken).len(), 1);
+    assert!(ledger.refused(&refused).is_empty());
+    assert_eq!(ledger.acknowledged(&refused).len(), 1);
 }
