Let members make themselves known to seeds that are no members

Cause: seeds may all be guests. A guest knows the members from its own seeds; after a loss of all power it and all data nodes begin anew, and where the settings name guests only, they know nobody but each other, for members never speak to guests by themselves.

Ruled out: remembering members in the guest (its folder does not last).

Change: each member sends the members' addresses to those of its present seeds that are none, at its start and once a second: three small frames.

--- a/crates/constants/src/consensus.rs
+++ b/crates/constants/src/consensus.rs
@@ -62,6 +62,9 @@
 pub const HAND_OVER_MS: u64 = 3_000;
 /// Fresh control nodes greet each other at this pace until a log exists.
 pub const GREET_MS: u64 = 200;
+/// A member names the members to seeds that are none at this pace: three small frames a second at
+/// most, and a seed that began anew is of use again well within the time to recover.
+pub const INTRODUCE_MS: u64 = 1_000;
 /// A fresh node unheard for ten greetings is no longer counted.
 pub const HEARD_KEEP_MS: u64 = 10 * GREET_MS;
 /// A voter that just started asks the others at this pace whether any of them leads.
--- a/crates/controller/src/greet.rs
+++ b/crates/controller/src/greet.rs
@@ -2,7 +2,9 @@
 
 use crate::ControlNode;
 use postbarrow_consensus::{self as consensus, Member, MemberId};
-use postbarrow_constants::consensus::{ELECTION_MIN_MS, GREET_MS, HEARD_KEEP_MS, VOTERS};
+use postbarrow_constants::consensus::{
+    ELECTION_MIN_MS, GREET_MS, HEARD_KEEP_MS, INTRODUCE_MS, VOTERS,
+};
 use postbarrow_constants::nodes::INTRODUCTIONS;
 use postbarrow_messages::{Greet, Message};
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,6 +20,8 @@
 pub(crate) struct Book {
     own: SocketAddr,
     addresses: BTreeSet<SocketAddr>,
+    /// The seeds of the settings as they are now.
+    seeds: Vec<SocketAddr>,
     fresh: BTreeMap<MemberId, Heard>,
     pub(crate) formed: bool,
     /// Has no disk that lasts: only finds the others and hands questions on.
@@ -25,6 +29,8 @@
     /// Where those stand that begin the log together; none: any three empty disks may.
     pub(crate) founders: Option<BTreeSet<SocketAddr>>,
     due_ms: u64,
+    /// When this member names the members to its seeds next.
+    introduction_due_ms: u64,
     leader_ms: u64,
 }
 
@@ -34,11 +40,13 @@
         Book {
             own,
             addresses,
+            seeds: seeds.to_vec(),
             fresh: BTreeMap::new(),
             formed: false,
             guest: false,
             founders: None,
             due_ms: 0,
+            introduction_due_ms: 0,
             leader_ms: 0,
         }
     }
@@ -48,6 +56,8 @@
     }
 
     pub fn meet(&mut self, seeds: &[SocketAddr]) {
+        self.seeds = seeds.to_vec();
+        self.introduction_due_ms = 0;
         seeds.iter().for_each(|seed| self.add(*seed));
     }
 
@@ -66,6 +76,9 @@
             self.book.leader_ms = now_ms;
         }
         let member = self.consensus.members().contains(&self.own);
+        if member {
+            self.introduce_to_seeds(now_ms);
+        }
         let lost = now_ms > self.book.leader_ms + 3 * ELECTION_MIN_MS;
         if now_ms < self.book.due_ms || (member && !lost) || self.stopping {
             return;
@@ -167,6 +180,22 @@
         self.send(from, Message::Introduction { control, formed });
     }
 
+    /// Members make themselves known to the seeds that are none. Such a seed may have begun anew
+    /// and know only others like itself, while data nodes are told of nobody else.
+    fn introduce_to_seeds(&mut self, now_ms: u64) {
+        if now_ms < self.book.introduction_due_ms {
+            return;
+        }
+        self.book.introduction_due_ms = now_ms + INTRODUCE_MS;
+        let members: Vec<SocketAddr> =
+            self.consensus.members().iter().map(|member| member.address).collect();
+        let seeds = self.book.seeds.clone();
+        for seed in seeds.into_iter().filter(|seed| !members.contains(seed)) {
+            let control = members.clone();
+            self.send(seed, Message::Introduction { control, formed: true });
+        }
+    }
+
     pub(crate) fn on_introduction(&mut self, control: Vec<SocketAddr>, formed: bool) {
         self.book.formed |= formed;
         for address in control.into_iter().take(INTRODUCTIONS) {
--- a/crates/simulation/src/control.rs
+++ b/crates/simulation/src/control.rs
@@ -33,6 +33,8 @@
     syncing: bool,
     /// Its process does not begin again once it has ended.
     pub retired: bool,
+    /// It has no disk that lasts, so it is never a member.
+    pub guest: bool,
     /// How many of the writes the storage has and could not carry out yet.
     handed: usize,
     /// Targets as last seen committed here, to find what was dropped.
@@ -52,6 +54,7 @@
             writes: VecDeque::new(),
             syncing: false,
             retired: false,
+            guest: false,
             handed: 0,
             targets: OrdMap::new(),
         }
@@ -74,6 +77,9 @@
             seeds[2] = self.data[0].address;
         }
         let machine = &mut self.control[at];
+        if machine.guest {
+            machine.disk = SimDisk::default();
+        }
         if machine.disk.is_stalled() {
             return self.start_again(at);
         }
@@ -98,7 +104,8 @@
         machine.targets = OrdMap::new();
         let node = ControlNode::new(own, recovered, &seeds, seed, now_ms);
         let node = node.with_log_bound(LOG_BOUND_BYTES);
-        machine.node = Some(node.with_losses(self.losses).with_voter_dead(self.voter_dead_ms));
+        let node = node.with_losses(self.losses).with_voter_dead(self.voter_dead_ms);
+        machine.node = Some(if machine.guest { node.as_guest() } else { node });
         let life = machine.life;
         self.after(0, Event::Tick { who: Who::Control(at), life });
     }
--- a/crates/simulation/src/data.rs
+++ b/crates/simulation/src/data.rs
@@ -60,7 +60,7 @@
         let incarnation = self.random.draw();
         let now_ms = self.local_ms(Who::Data(at));
         let mut seeds = self.seeds.clone();
-        if at > 0 {
+        if at > 0 && !self.core_seeds_only {
             seeds[2] = self.data[0].address;
         }
         let machine = &mut self.data[at];
--- a/crates/simulation/src/replacement.rs
+++ b/crates/simulation/src/replacement.rs
@@ -121,9 +121,20 @@
 
     /// An empty core machine at a new address; its place among all.
     pub fn add_control(&mut self) -> usize {
+        self.add_control_machine(false)
+    }
+
+    /// A control machine without a disk, which passes requests on and is never a member.
+    pub fn add_guest(&mut self) -> usize {
+        self.add_control_machine(true)
+    }
+
+    fn add_control_machine(&mut self, guest: bool) -> usize {
         let at = self.control.len();
         let (offset_ms, rate) = (self.random.below(1_000_000), self.random.below(11));
-        self.control.push(ControlMachine::new(address(1, 100 + at, 1), offset_ms, rate));
+        let mut machine = ControlMachine::new(address(1, 100 + at, 1), offset_ms, rate);
+        machine.guest = guest;
+        self.control.push(machine);
         self.start_control(at);
         at
     }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -53,7 +53,7 @@
     pub slow_disks: bool,
     /// What the deployment says of its core: losses to bear, and the silence of a dead voter.
     pub losses: usize,
-    /// A core machine that begins is told of no data node beside its seeds.
+    /// A machine that begins is told of no data node beside its seeds.
     pub core_seeds_only: bool,
     pub voter_dead_ms: u64,
     pub slow: Option<SlowMachine>,
