--- a/crates/simulation/src/replacement.rs
+++ b/crates/simulation/src/replacement.rs
@@ -37,7 +37,7 @@
 const OVERLAP_US: u64 = 1_000_000;
 /// A newcomer that dies half-way has lived so long.
 const HALF_WAY_US: u64 = 700_000;
-/// An ask comes every so often: enough to see each node served.
+/// A request comes every so often: enough to see each node served.
 const ASK_PAUSE_US: u64 = 100_000;
 const LOOK_US: u64 = 20_000;
 /// Nobody leads any more if nobody does by then.
@@ -53,7 +53,7 @@
     pub fn run(&self) -> Replaced {
         let mut world = World::new(self.seed, 2, 9);
         world.set_core_bounds(self.losses, self.catch_up_ms() / 2);
-        world.ask_pause_us = ASK_PAUSE_US;
+        world.request_pause_us = ASK_PAUSE_US;
         world.run_until(6_000_000);
         while world.control.len() < 2 * self.losses + 1 {
             world.add_control();
@@ -121,9 +121,20 @@
 
     /// An empty core machine at a new address; its place among all.
     pub fn add_control(&mut self) -> usize {
+        self.add_control_machine(false)
+    }
+
+    /// A control machine without a disk, which passes requests on and is never a member.
+    pub fn add_guest(&mut self) -> usize {
+        self.add_control_machine(true)
+    }
+
+    fn add_control_machine(&mut self, guest: bool) -> usize {
         let at = self.control.len();
         let (offset_ms, rate) = (self.random.below(1_000_000), self.random.below(11));
-        self.control.push(ControlMachine::new(address(1, 100 + at, 1), offset_ms, rate));
+        let mut machine = ControlMachine::new(address(1, 100 + at, 1), offset_ms, rate);
+        machine.guest = guest;
+        self.control.push(machine);
         self.start_control(at);
         at
     }
