Let the simulated operators' list lose machines that are gone for good

The simulated operator went round all control machines that ever were, and after three rounds of losses six of eleven are gone for good: its 2 s are over before it meets one that lives, at 300 ms for each silent one. Operators' real list tells of a machine's end after some 3 s.

Ruled out: the members (they lead within 740 ms of the last loss and hold the plan; data nodes serve by it).

Change: the list leaves out machines that were retired 3 s ago.

--- a/crates/simulation/src/control.rs
+++ b/crates/simulation/src/control.rs
@@ -16,6 +16,9 @@
 /// A process that ended is begun again after this time.
 const AGAIN_US: u64 = 500_000;
 
+/// The operators' list of control machines is this old.
+const OPERATORS_LIST_LAG_US: u64 = 3_000_000;
+
 /// Small, so that every run writes slots and a late member needs a snapshot.
 const LOG_BOUND_BYTES: u64 = 48 * 1024;
 
@@ -31,8 +34,8 @@
     storage: Option<Storage<SimDisk>>,
     writes: VecDeque<(u64, Write)>,
     syncing: bool,
-    /// Its process does not begin again once it has ended.
-    pub retired: bool,
+    /// Since when it is gone for good: its process does not begin again once it has ended.
+    pub retired_us: Option<u64>,
     /// It has no disk that lasts, so it is never a member.
     pub guest: bool,
     /// How many of the writes the storage has and could not carry out yet.
@@ -53,7 +56,7 @@
             storage: None,
             writes: VecDeque::new(),
             syncing: false,
-            retired: false,
+            retired_us: None,
             guest: false,
             handed: 0,
             targets: OrdMap::new(),
@@ -62,6 +65,11 @@
 }
 
 impl ControlMachine {
+    /// Whether operators find it on their list, which tells of a machine's end a while later.
+    pub fn is_listed(&self, now_us: u64) -> bool {
+        self.retired_us.is_none_or(|retired_us| now_us < retired_us + OPERATORS_LIST_LAG_US)
+    }
+
     pub fn writes(&self) -> impl Iterator<Item = &Write> {
         self.writes.iter().map(|(_, write)| write)
     }
--- a/crates/simulation/src/operator.rs
+++ b/crates/simulation/src/operator.rs
@@ -107,7 +107,8 @@
     /// Twenty times a second: looks after open questions; now and then hands over a plan.
     pub fn operate(&mut self) {
         let now_ms = self.now_us / 1_000;
-        let members: Vec<SocketAddr> = self.control.iter().map(|machine| machine.address).collect();
+        let listed = self.control.iter().filter(|machine| machine.is_listed(self.now_us));
+        let members: Vec<SocketAddr> = listed.map(|machine| machine.address).collect();
         self.operator.controller_client.learn(now_ms, None, &members);
         let effects = self.operator.controller_client.tick(now_ms);
         self.operator_does(effects);
--- a/crates/simulation/src/replacement.rs
+++ b/crates/simulation/src/replacement.rs
@@ -153,13 +153,13 @@
 
     /// This machine is gone for good, at once.
     fn retire(&mut self, at: usize) {
-        self.control[at].retired = true;
+        self.control[at].retired_us = Some(self.now_us);
         self.end_control(at, true);
     }
 
     /// This process is asked to stop, and won't begin again.
     fn stop_for_good(&mut self, at: usize) {
-        self.control[at].retired = true;
+        self.control[at].retired_us = Some(self.now_us);
         self.roll_control(at);
     }
 
--- a/crates/simulation/src/roll.rs
+++ b/crates/simulation/src/roll.rs
@@ -44,7 +44,7 @@
             (true, false, _) => self.after(LOOK_US, Event::Leave { who, life, since_us }),
             (true, true, Who::Control(at)) => {
                 self.end_control(at, false);
-                if !self.control[at].retired {
+                if self.control[at].retired_us.is_none() {
                     self.after(AWAY_US, Event::Start(who));
                 }
             }
