Number a data node's questions for a lease from random bits in each life

Cause: the numbers began at 1 in each life, and an answer is matched by its number alone.

Ruled out: keys of other requests (random per life already), rounds of the log (the same), tickets (they carry the incarnation).

Change: numbers begin at the incarnation, which is drawn for each life.

Seen: hold.rs, 7 passed; with numbers from 0 the new test fails.

--- a/crates/node/src/fresh.rs
+++ b/crates/node/src/fresh.rs
@@ -1,9 +1,11 @@
 use crate::{DataNode, Effect};
 use postbarrow_constants::nodes::*;
 use postbarrow_messages::{Fresh, FreshAsk, Message};
+use postbarrow_state::Incarnation;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
+/// One answer of the controller, counted from when its request was sent.
 struct Grant {
     sent_ms: u64,
     watermark: u64,
@@ -11,6 +13,8 @@
 
 /// Questions about freshness, and the leases their answers gave.
 pub(crate) struct FreshBook {
+    /// Of the newest request. Each life begins at its incarnation, which is random, so that an
+    /// answer to an earlier life at this address is nobody's.
     number: u64,
     sent_ms: BTreeMap<u64, u64>,
     grants: VecDeque<Grant>,
@@ -28,9 +32,9 @@
 }
 
 impl FreshBook {
-    pub fn new(now_ms: u64) -> Self {
+    pub fn new(now_ms: u64, incarnation: Incarnation) -> Self {
         FreshBook {
-            number: 0,
+            number: incarnation,
             sent_ms: BTreeMap::new(),
             grants: VecDeque::new(),
             term: 0,
@@ -101,7 +105,7 @@
                 all
             }
         };
-        self.fresh.number += 1;
+        self.fresh.number = self.fresh.number.wrapping_add(1);
         let number = self.fresh.number;
         self.fresh.sent_ms.insert(number, now_ms);
         let request = FreshAsk {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -90,6 +90,7 @@
 
 impl DataNode {
     pub fn new(own: Node, seeds: Vec<SocketAddr>, now_ms: u64) -> Self {
+        let fresh = FreshBook::new(now_ms, own.incarnation);
         DataNode {
             own,
             seeds,
@@ -101,7 +102,7 @@
             encoded: EncodedImage::default(),
             watch: Watch::default(),
             controller_client: ControllerClient::default(),
-            fresh: FreshBook::new(now_ms),
+            fresh,
             failures: BTreeMap::new(),
             direct_until_ms: 0,
             behind_ms: None,
--- a/crates/node/tests/hold.rs
+++ b/crates/node/tests/hold.rs
@@ -21,8 +21,13 @@
 
 impl Bench {
     fn new() -> Bench {
+        Bench::of_life(5)
+    }
+
+    /// A process at the same address, in a life of its own.
+    fn of_life(incarnation: u64) -> Bench {
         let own = Node {
-            incarnation: 5,
+            incarnation,
             name: Name::from("n"),
             address: address(9),
             http: address(9),
@@ -158,3 +163,17 @@
     assert!(bench.asked_at.contains(&address(44)), "{:?}", bench.asked_at);
     assert!(bench.node.lease_until() < bench.now_ms, "an introduction grants nothing");
 }
+
+#[test]
+fn an_answer_to_an_earlier_life_gives_no_lease() {
+    let (mut earlier, mut later) = (Bench::of_life(0x5eed), Bench::of_life(0xfeed_0000));
+    earlier.tick(0);
+    later.tick(0);
+    later.news(0, 4, &[plan("v1")]);
+    let (number, _) = *earlier.asked.last().expect("it asks");
+    later.granted(number, 1, 4);
+    assert_eq!(later.node.lease_until(), 0, "the question was another life's");
+    let (number, sent_ms) = *later.asked.last().expect("it asks");
+    later.granted(number, 1, 4);
+    assert!(later.node.lease_until() > sent_ms);
+}
