Let a failed walk end the doubt about a shrunk list:

Cause: a list with less than half of what is known must say so in two whole walks in a row. The note of the first outlived walks that failed after it, so two short answers with the list out of reach, or going round, between them counted as two in a row (list's troubles Less, Down, Round, Less). Ruled out: rows that shift over pages (suspects are counted apart) and a new controller (the same one led throughout). Conclusion: the doubt is about this walk and the next, and a failed walk ends it.

--- a/crates/controller/src/walk.rs
+++ b/crates/controller/src/walk.rs
@@ -40,7 +40,7 @@
     order: Vec<Name>,
     /// Missing from the last whole walks, but not for certain: from how many.
     suspects: BTreeMap<Name, u8>,
-    /// The last whole walk found less than half of what was known.
+    /// The last walk was whole and found less than half of what was known.
     shrunk: bool,
     guesses: bool,
     failures: u32,
@@ -145,6 +145,7 @@
         let stuck = self.pages.iter().any(late);
         if stuck {
             self.wait_ms = (2 * wait_ms).min(LIST_PAGE_WAIT_MS);
+            self.shrunk = false;
             self.restart(now_ms);
         }
         stuck
@@ -177,7 +178,9 @@
         Some(why)
     }
 
+    /// A list in trouble says nothing: two short answers around it are not two in a row.
     fn fail(&mut self, now_ms: u64) {
+        self.shrunk = false;
         self.guesses = true;
         self.restart(now_ms + LIST_AGAIN_MS);
     }
--- a/crates/controller/tests/list.rs
+++ b/crates/controller/tests/list.rs
@@ -102,6 +102,59 @@
     }
 }
 
+/// How the list fails between two short answers.
+#[derive(Clone, Copy, Debug)]
+enum Between {
+    CursorsGoRound,
+    EveryPageFails,
+    APageNeverComes,
+}
+
+fn fail_walk(bench: &mut Bench, how: Between) {
+    match how {
+        Between::CursorsGoRound => {
+            answer(bench, None, &["l1"], Some("1"));
+            answer(bench, Some("1"), &["l2"], Some("1"));
+        }
+        Between::EveryPageFails => {
+            for _ in 0..=LIST_TRIES {
+                while bench.fetches.is_empty() {
+                    bench.tick(20);
+                }
+                let (number, _) = bench.fetches.pop_front().expect("a page is asked for");
+                let fetched = Fetched::Failed("the list is not there".into());
+                bench.input(Input::Page(PageResult { number, fetched }));
+            }
+        }
+        Between::APageNeverComes => {
+            while bench.fetches.is_empty() {
+                bench.tick(20);
+            }
+            bench.tick(LIST_PAGE_WAIT_MS + 20);
+        }
+    }
+    bench.fetches.clear();
+}
+
+/// Found by `simulate --seed 3008795`: cut short, out of reach, going round, cut short again.
+#[test]
+fn two_short_answers_with_a_failed_walk_between_them_are_not_two_in_a_row() {
+    for how in [Between::CursorsGoRound, Between::EveryPageFails, Between::APageNeverComes] {
+        for rows in [&[][..], &["l1"][..]] {
+            let mut bench = listed();
+            for turn in 1..=LIST_MISSES {
+                walk(&mut bench, &[rows]);
+                assert_eq!(known(&bench), 6, "{how:?}: short answer {turn}");
+                fail_walk(&mut bench, how);
+            }
+            walk(&mut bench, &[rows]);
+            walk(&mut bench, &[rows]);
+            walk(&mut bench, &[rows]);
+            assert_eq!(known(&bench), rows.len(), "{how:?}: it stays so, and is believed");
+        }
+    }
+}
+
 #[test]
 fn pages_are_asked_for_beside_each_other_and_a_cursor_that_changed_undoes_a_guess() {
     let mut bench = listed();
