--- a/crates/constants/src/coordination.rs
+++ b/crates/constants/src/coordination.rs
@@ -4,6 +4,8 @@
 pub const TICKET_USE_MS: u64 = 1_500;
 /// A question to the controller that gets no response in this time has an unknown end.
 pub const ASK_CONTROLLER_MS: u64 = 2_500;
+/// Who asked waits so much longer than the question lives, for the answer that its time is over.
+pub const CONTROLLER_ANSWER_SLACK_MS: u64 = 200;
 /// A question is sent again at this pace while its end is open; the controller sees repeats.
 pub const ASK_AGAIN_MS: u64 = 300;
 /// A settled ticket is kept this long: a client's retries come within minutes.
--- a/crates/constants/src/traffic.rs
+++ b/crates/constants/src/traffic.rs
@@ -28,6 +28,10 @@
 pub const DOWNSTREAM_BYTES_PER_MS: u64 = 256;
 /// One write to a client; between writes its deadline is looked at.
 pub const WRITE_BYTES: usize = 64 * 1024;
+/// Statuses below this one are interim: another response follows.
+pub const FIRST_FINAL_STATUS: u16 = 200;
+/// Room for a request's head on its way to a target: most take less, and none has to.
+pub const HEAD_GUESS_BYTES: usize = 512;
 /// Head of a request, and its headers.
 pub const HEAD_BYTES: usize = 32 * 1024;
 pub const HEADERS: usize = 100;
@@ -55,11 +59,9 @@
 pub const GOES: usize = 3;
 /// Goes of one ticketed ask: each further one needs a committed unsent.
 pub const TICKETED_GOES: usize = 3;
-/// Proved connections kept idle for one target.
+/// Connections kept idle for one target.
 pub const IDLE_CONNECTIONS: usize = 16;
-/// An idle connection older than this is closed.
-pub const IDLE_CONNECTION_MS: u64 = 10_000;
-/// Connect to a target and its proof.
+/// A target proves itself within this time.
 pub const PROOF_WAIT_MS: u64 = 800;
 /// Where a target proves who it is.
 pub const PROOF_PATH: &str = "/.well-known/postbarrow-target";
@@ -79,16 +81,15 @@
 pub const LOOK_UP_MS: u64 = 250;
 /// A chunk's size line, at most.
 pub const CHUNK_LINE_BYTES: usize = 1024;
-/// A target that is named in each ask takes a connection within this time, or another is sought.
+/// A target takes a connection within this time, or another is sought.
 pub const TARGET_CONNECT_MS: u64 = 500;
-/// Such a connection is used again within this time, unless the target says how long it keeps one.
+/// A connection to a target is used again within this time, unless the target says how long it
+/// keeps one.
 pub const TARGET_IDLE_MS: u64 = 4_000;
 /// A connection is left alone so long before its target would close it.
 pub const TARGET_IDLE_MARGIN_MS: u64 = 1_500;
 /// None is kept longer, whatever its target says.
 pub const TARGET_IDLE_MOST_MS: u64 = 60_000;
-/// A socket's time-out is set anew only when it is off by more than this: each costs a system call.
-pub const TIMEOUT_SLACK_MS: u64 = 20;
 /// Callers' connections at one control node, each on a small thread.
 pub const DESKS: usize = 512;
 /// A process looks for signals at this pace; a stop has seconds.
@@ -109,3 +110,13 @@
 pub const FAILED_PAUSE_MOST_MS: u64 = 8_000;
 /// A target that turned an ask away is passed over this long while others have room.
 pub const TURNED_AWAY_PAUSE_MS: u64 = 200;
+/// A waiting request looks this often whether its client has left, where it waits for no socket: well
+/// within the half second after which work for a client that left is a fault.
+pub const CLIENT_LOOK_MS: u64 = 200;
+/// A connection on which nothing came for so long is probed.
+pub const KEEPALIVE_IDLE_MS: u64 = 5_000;
+/// Such a probe is repeated at this pace.
+pub const KEEPALIVE_INTERVAL_MS: u64 = 1_000;
+/// Probes without an answer after which the peer's machine counts as gone: with the two above, 8 s.
+/// Cuts of a few seconds are shorter, and a connection behind one goes on after it.
+pub const KEEPALIVE_PROBES: u32 = 3;
--- a/crates/controller-client/src/lib.rs
+++ b/crates/controller-client/src/lib.rs
@@ -59,6 +59,12 @@
         self.tick(now_ms)
     }
 
+    /// Forgets a question whose asker has left: no further copy goes out, and it gets no answer. The
+    /// copies that went out may yet take effect.
+    pub fn withdraw(&mut self, key: u64) {
+        self.open.remove(&key);
+    }
+
     /// Sends what is due, and ends what is over.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Effect> {
         self.doubt_the_silent(now_ms);
--- a/crates/controller-client/tests/refusals.rs
+++ b/crates/controller-client/tests/refusals.rs
@@ -97,3 +97,13 @@
     assert_eq!(answers(client.on_response(700, QUESTION, done.clone())), [done]);
     assert!(client.on_response(710, QUESTION, Response::Full).is_empty(), "nobody waits any more");
 }
+
+/// Who asked has left: no further copy goes out, and a late answer is nobody's.
+#[test]
+fn a_question_that_is_withdrawn_is_sent_no_more_and_gets_no_answer() {
+    let mut client = sent(start(), 1);
+    client.withdraw(QUESTION);
+    assert_eq!(client.open(), 0);
+    assert!(client.tick(ASK_AGAIN_MS).is_empty(), "it is asked no more");
+    assert!(client.on_response(ASK_AGAIN_MS, QUESTION, held()).is_empty());
+}
--- a/crates/downstream/src/body.rs
+++ b/crates/downstream/src/body.rs
@@ -54,6 +54,8 @@
     Ok(Body { bytes, _reserved: reserved })
 }
 
+/// The client closed its side or the connection broke: nobody is there to hear a refusal.
+pub const CLIENT_LEFT: Reject = Reject { status: 0, why: "the client left" };
 pub const TOO_LARGE: Reject = Reject { status: 413, why: "the body is too large" };
 pub const FULL: Reject = Reject { status: 503, why: "this node is full" };
 const BAD_CHUNK: Reject = Reject { status: 400, why: "a chunk is malformed" };
--- a/crates/downstream/src/connection.rs
+++ b/crates/downstream/src/connection.rs
@@ -1,7 +1,9 @@
+use crate::body::CLIENT_LEFT;
+use crate::client_watch::ClientWatch;
 use crate::head::{self, Head, Reject, passed_on};
 use postbarrow_constants::traffic::*;
 use postbarrow_node::TargetResponse;
-use postbarrow_transport::clock_ms;
+use postbarrow_transport::{clock_ms, probe_the_silent};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{IpAddr, TcpStream};
 use std::time::Duration;
@@ -34,7 +36,6 @@
     Closed,
 }
 
-const GONE: Reject = Reject { status: 0, why: "the client is gone" };
 const SLOW: Reject = Reject { status: 408, why: "the request did not come in time" };
 
 impl Connection {
@@ -42,6 +43,7 @@
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_millis(LOOK_UP_MS)))?;
         stream.set_write_timeout(Some(Duration::from_millis(DOWNSTREAM_WRITE_MS)))?;
+        probe_the_silent(&stream)?;
         let client = stream.peer_addr()?.ip();
         Ok(Connection { stream, buffer: Vec::new(), start: 0, client })
     }
@@ -72,7 +74,7 @@
                 }
                 Ok(None) => match self.more(deadline_ms) {
                     Ok(()) => {}
-                    Err(reject) if reject == GONE => return Next::Closed,
+                    Err(reject) if reject == CLIENT_LEFT => return Next::Closed,
                     Err(reject) => return Next::Reject(reject),
                 },
                 Err(reject) => return Next::Reject(reject),
@@ -123,7 +125,7 @@
             match self.fill() {
                 Ok(true) => return Ok(()),
                 Ok(false) => {}
-                Err(_) => return Err(GONE),
+                Err(_) => return Err(CLIENT_LEFT),
             }
         }
     }
@@ -147,17 +149,9 @@
         }
     }
 
-    /// Whether the client has closed its side, without taking a byte.
-    pub fn is_gone(&self) -> bool {
-        if self.stream.set_nonblocking(true).is_err() {
-            return true;
-        }
-        let seen = self.stream.peek(&mut [0]);
-        let _ = self.stream.set_nonblocking(false);
-        match seen {
-            Ok(length) => length == 0,
-            Err(error) => error.kind() != ErrorKind::WouldBlock,
-        }
+    /// Tells when the client leaves, without taking a byte.
+    pub fn watch(&self) -> ClientWatch<'_> {
+        ClientWatch::new(&self.stream)
     }
 
     pub fn go_on(&mut self) -> std::io::Result<()> {
--- a/crates/downstream/src/lib.rs
+++ b/crates/downstream/src/lib.rs
@@ -2,6 +2,7 @@
 //! written so that a cut one never looks whole.
 
 pub mod body;
+pub mod client_watch;
 pub mod connection;
 pub mod head;
 pub mod memory;
--- a/crates/node/src/course.rs
+++ b/crates/node/src/course.rs
@@ -1,3 +1,5 @@
+//! The course of one request, without I/O.
+
 use crate::step::{Event, Go, Now, Passed, Step};
 use crate::verdict::{About, Told, Verdict};
 use postbarrow_constants::coordination::TICKET_USE_MS;
@@ -8,6 +10,8 @@
 use std::fmt;
 use std::sync::Arc;
 
+/// The course of one request: which target is next, whether it needs a ticket, how it ends. Once its
+/// client has left it begins nothing more; what a target may be running goes on to its settlement.
 pub struct Course {
     go: Go,
     entry: Arc<Entry>,
@@ -45,7 +49,9 @@
                 self.next_go(now)
             }
             Event::Unconnected(why) => {
-                self.load_failed(now);
+                if !now.client_left {
+                    self.load_failed(now);
+                }
                 self.why = why;
                 self.extra_go(now)
             }
@@ -71,6 +77,9 @@
 
     /// Targets come from the entry the ask began with, checked against the image of this moment.
     fn next_go(&mut self, now: &Now<'_>) -> Step {
+        if now.client_left {
+            return self.end(Told::ClientLeft);
+        }
         if !now.serves {
             return self.end(Told::Unready);
         }
@@ -94,6 +103,9 @@
     }
 
     fn extra_go(&mut self, now: &Now<'_>) -> Step {
+        if now.client_left {
+            return self.end(Told::ClientLeft);
+        }
         let most = if self.is_one_time() { TICKETED_GOES } else { GOES };
         let tries = self.entry.route().tries;
         let most = tries.map_or(most, |tries| tries as usize);
@@ -109,7 +121,7 @@
         let service = &self.entry.route().service;
         let allowed =
             self.target.as_ref().is_some_and(|target| now.table.allows(service, &target.instance));
-        now.serves && allowed && self.left_ms(now) > 0
+        now.serves && allowed && self.left_ms(now) > 0 && !now.client_left
     }
 
     fn on_connected(&mut self, now: &Now<'_>) -> Step {
@@ -120,6 +132,9 @@
                 false => self.next_go(now),
             };
         }
+        if now.client_left {
+            return self.end(Told::ClientLeft);
+        }
         let ticket = Ticket {
             key: self.go.key.clone(),
             digest: self.go.digest,
@@ -177,7 +192,13 @@
         }
     }
 
+    /// No target ran it. Another go may follow once its ticket, if it has one, is settled; nobody
+    /// waits for that where the client has left.
     fn settle_unsent(&mut self, now: &Now<'_>) -> Step {
+        if now.client_left {
+            let settle = self.ticket.take().map(|ticket| (ticket, Settlement::Unsent, None));
+            return Step::Done { verdict: self.verdict(Told::ClientLeft), settle };
+        }
         match &self.ticket {
             Some(ticket) => Step::Settle {
                 ticket: ticket.clone(),
@@ -204,11 +225,15 @@
                     load.turned_away(now.now_ms);
                 }
                 self.why = why;
-                self.extra_go(now)
+                self.settle_unsent(now)
             }
             Passed::Unsent(why) => {
                 self.why = why;
-                if self.ticket.is_some() { self.settle_unsent(now) } else { self.extra_go(now) }
+                self.settle_unsent(now)
+            }
+            Passed::Unknown { .. } if now.client_left && !self.is_one_time() => {
+                self.sent = true;
+                self.end(Told::ClientLeft)
             }
             Passed::Unknown { late, why } => {
                 self.load_failed(now);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,6 +30,10 @@
         request: Request,
         wait_ms: u64,
     },
+    /// Nobody waits for the answer to this question any more: it is not sent again.
+    Withdraw {
+        key: u64,
+    },
     Probed {
         instance: Name,
         sound: bool,
@@ -129,6 +133,7 @@
                 let effects = self.controller_client.ask(now_ms, key, request, wait_ms);
                 self.absorb(effects);
             }
+            Input::Withdraw { key } => self.controller_client.withdraw(key),
             Input::Probed { instance, sound } => self.on_probed(instance, sound),
             Input::Saw { samples, seen } => {
                 self.recent.extend(samples);
--- a/crates/node/src/step.rs
+++ b/crates/node/src/step.rs
@@ -92,4 +92,6 @@
     pub serves: bool,
     /// A number this node never gave before.
     pub number: u64,
+    /// The client of the request has left: nothing more is begun for it.
+    pub client_left: bool,
 }
--- a/crates/node/src/verdict.rs
+++ b/crates/node/src/verdict.rs
@@ -20,6 +20,8 @@
     GaveUp(String),
     NoTicket(String),
     Late,
+    /// The client left before an end that it could be told.
+    ClientLeft,
     /// No word on the ticket: it may yet be granted, though it will not be used.
     TicketUnknown,
     TargetFailed(String),
@@ -90,6 +92,7 @@
             Told::GaveUp(why) => (502, "unknown", "no target gave a whole response", Some(why)),
             Told::NoTicket(why) => (503, "not-run", "no ticket", Some(why)),
             Told::Late => (504, "unknown", "the deadline is over", None),
+            Told::ClientLeft => (504, "unknown", "the client left", None),
             Told::TicketUnknown => (504, "unknown", "no word on the ticket", None),
             Told::TargetFailed(why) => {
                 (502, "unknown", "the target gave no whole response", Some(why))
--- a/crates/simulation/src/check.rs
+++ b/crates/simulation/src/check.rs
@@ -76,6 +76,10 @@
     /// Whenever a node forwards a request: no older plan, no leaving target.
     pub fn check_pass(&mut self, request: u64, at: usize) {
         self.ledger.passes += 1;
+        if self.requests.get(&request).is_some_and(|run| run.client_left) {
+            let text = format!("data-{at} passed request {request} on for a client that left");
+            self.ledger.violate(text);
+        }
         let began = self.data[at].table.state.plan.as_ref().map_or(0, |plan| plan.offset);
         let now_us = self.now_us;
         let due = self.ledger.in_force.iter().filter(|(at_us, _)| at_us + LEASE_US <= now_us);
--- a/crates/simulation/src/data.rs
+++ b/crates/simulation/src/data.rs
@@ -146,10 +146,25 @@
         wait_ms: u64,
         waits: Waits,
     ) {
+        let key = self.next_question_key(at);
+        self.send_question(at, key, request, wait_ms, waits);
+    }
+
+    pub fn next_question_key(&mut self, at: usize) -> u64 {
         let machine = &mut self.data[at];
         machine.number += 1;
-        let key = machine.number;
-        machine.waits.insert(key, waits);
+        machine.number
+    }
+
+    pub fn send_question(
+        &mut self,
+        at: usize,
+        key: u64,
+        request: postbarrow_messages::Request,
+        wait_ms: u64,
+        waits: Waits,
+    ) {
+        self.data[at].waits.insert(key, waits);
         self.data_input(at, Input::Request { key, request, wait_ms });
     }
 
--- a/crates/simulation/src/event.rs
+++ b/crates/simulation/src/event.rs
@@ -49,6 +49,20 @@
         data: usize,
         life: u64,
     },
+    /// A client closes its connection before its answer.
+    ClientLeaves {
+        request: u64,
+    },
+    /// Its node sees that.
+    SeesClientLeave {
+        request: u64,
+        data: usize,
+        life: u64,
+    },
+    /// A client that left sends the same request again, under its key.
+    ClientComesBack {
+        request: u64,
+    },
     Go {
         request: u64,
         data: usize,
@@ -111,6 +125,7 @@
             | Event::Encoded { at, .. }
             | Event::Door { at, .. } => Some(Who::Control(*at)),
             Event::Arrive { data, .. }
+            | Event::SeesClientLeave { data, .. }
             | Event::Go { data, .. }
             | Event::Send { data, .. }
             | Event::Probe { data, .. } => Some(Who::Data(*data)),
--- a/crates/simulation/src/ledger.rs
+++ b/crates/simulation/src/ledger.rs
@@ -24,12 +24,15 @@
     pub unreached: usize,
     /// The node that took it ended first.
     pub unanswered: usize,
+    /// The client left before any answer.
+    pub left: usize,
 }
 
 impl Ends {
     /// All requests, each counted once.
     pub fn total(&self) -> usize {
-        self.ran + self.not_run + self.unknown + self.pending + self.unreached + self.unanswered
+        let answered = self.ran + self.not_run + self.unknown + self.pending;
+        answered + self.unreached + self.unanswered + self.left
     }
 
     /// Both together.
@@ -42,6 +45,7 @@
             pending: self.pending + other.pending,
             unreached: self.unreached + other.unreached,
             unanswered: self.unanswered + other.unanswered,
+            left: self.left + other.left,
         }
     }
 }
@@ -52,9 +56,16 @@
     /// Sent twice at once under one key: what one go is told says nothing of the other.
     doubled: bool,
     told: Vec<Told>,
-    runs: Vec<String>,
-    /// Runs when the last go was told its end.
-    ran_before: usize,
+    /// A client of it left without an answer.
+    left: bool,
+    runs: Vec<Run>,
+}
+
+/// One run at a target.
+struct Run {
+    instance: String,
+    /// Which of the sends under this id it was.
+    go: u64,
 }
 
 /// What clients were told and what targets ran, compared at every entry.
@@ -88,7 +99,8 @@
         self.records.entry(id).or_default().doubled = true;
     }
 
-    pub fn ran(&mut self, id: u64, instance: &str, kind: &str, service: &str, now_us: u64) {
+    /// A target ran a request, in the go of this number.
+    pub fn ran(&mut self, id: u64, go: u64, instance: &str, kind: &str, service: &str) {
         let mut found = Vec::new();
         if kind != service {
             found.push(format!("{instance} got request {id} of {service}"));
@@ -96,9 +108,11 @@
         match self.records.get_mut(&id) {
             None => found.push(format!("{instance} ran request {id}, which nobody sent")),
             Some(record) => {
-                record.runs.push(instance.to_string());
+                record.runs.push(Run { instance: instance.to_string(), go });
                 if record.one_time && record.runs.len() > 1 {
-                    found.push(format!("request {id} ran at {}", record.runs.join(" and ")));
+                    let places: Vec<&str> =
+                        record.runs.iter().map(|run| run.instance.as_str()).collect();
+                    found.push(format!("request {id} ran at {}", places.join(" and ")));
                 }
                 if record.one_time && !record.doubled && record.told.last() == Some(&Told::NotRun) {
                     found.push(format!("request {id} ran after it was told not run"));
@@ -106,15 +120,18 @@
             }
         }
         found.into_iter().for_each(|text| self.violate(text));
-        self.ran_us.push(now_us);
     }
 
-    pub fn told(&mut self, id: u64, told: Told) {
+    pub fn left(&mut self, id: u64) {
+        self.records.entry(id).or_default().left = true;
+    }
+
+    /// The client of this go was told its end. What a lookup is told is about this go alone.
+    pub fn told(&mut self, id: u64, go: u64, told: Told) {
         let Some(record) = self.records.get_mut(&id) else { return };
         record.told.push(told);
         let ran = !record.runs.is_empty();
-        let ran_now = record.runs.len() > record.ran_before;
-        record.ran_before = record.runs.len();
+        let ran_now = record.runs.iter().any(|run| run.go == go);
         if told == Told::NotRun && !record.one_time && ran_now {
             self.violate(format!("lookup {id} was told not run, but it ran"));
         } else if told == Told::NotRun && record.one_time && !record.doubled && ran {
@@ -126,16 +143,19 @@
 
     /// How many requests ended in each way, by the last end that their client saw.
     pub fn ends(&self) -> Ends {
-        let count = |end: Option<Told>| {
-            self.records.values().filter(|record| record.told.last().copied() == end).count()
+        let ended = |end: Option<Told>| {
+            self.records.values().filter(move |record| record.told.last().copied() == end)
         };
+        let count = |end: Option<Told>| ended(end).count();
+        let left = ended(None).filter(|record| record.left).count();
         Ends {
             ran: count(Some(Told::Ran)),
             not_run: count(Some(Told::NotRun)),
             unknown: count(Some(Told::Unknown)),
             pending: count(Some(Told::Pending)),
             unreached: count(Some(Told::Unreached)),
-            unanswered: count(None),
+            unanswered: count(None) - left,
+            left,
         }
     }
 
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -136,7 +136,7 @@
         sum(|outcome| outcome.events),
     );
     println!(
-        "{} requests: {} ran, {} not run, {} unknown, {} pending, {} unreached, {} unanswered",
+        "{} requests: {} ran, {} not run, {} unknown, {} pending, {} unreached, {} unanswered, {} left",
         ends.total(),
         ends.ran,
         ends.not_run,
@@ -144,6 +144,7 @@
         ends.pending,
         ends.unreached,
         ends.unanswered,
+        ends.left,
     );
     let synced = |part: fn(&(usize, usize)) -> usize| {
         outcomes.iter().map(|outcome| part(&outcome.synced)).sum::<usize>()
--- a/crates/simulation/src/passing.rs
+++ b/crates/simulation/src/passing.rs
@@ -37,7 +37,8 @@
         };
         let service = Name::from(self.requests[&request].service);
         let allowed = self.data[data].table.allows(&service, &target.instance);
-        if !(allowed && now_ms < until_ms && self.serves(data)) {
+        let client_waits = self.may_send_for_client(request);
+        if !(client_waits && allowed && now_ms < until_ms && self.serves(data)) {
             let event = postbarrow_node::Event::Passed(Passed::Unsent("the gate is shut".into()));
             return self.after(0, Event::Go { request, data, life, event });
         }
@@ -67,10 +68,12 @@
         let (took_us, passed) = if !alive {
             (300, failed(false, "broken"))
         } else if frozen {
-            self.ledger.ran(id, instance, &kind, service, self.now_us);
+            self.ledger.ran(id, request, instance, &kind, service);
+            self.ledger.ran_us.push(self.now_us);
             (4_000_000, failed(true, "late"))
         } else {
-            self.ledger.ran(id, instance, &kind, service, self.now_us);
+            self.ledger.ran(id, request, instance, &kind, service);
+            self.ledger.ran_us.push(self.now_us);
             let took_us = self.random.between(1_000, 6_000);
             if lost < lossy {
                 (took_us, failed(false, "the response is lost"))
--- a/crates/simulation/src/requests.rs
+++ b/crates/simulation/src/requests.rs
@@ -5,7 +5,8 @@
 use crate::ledger::Told;
 use crate::world::World;
 use postbarrow_constants::coordination::SETTLE_WAIT_MS;
-use postbarrow_messages::Request;
+use postbarrow_constants::traffic::CLIENT_LOOK_MS;
+use postbarrow_messages::{Request, Response};
 use postbarrow_node::*;
 use postbarrow_routing::{Found, Load};
 use postbarrow_state::{Name, Target};
@@ -25,6 +26,23 @@
     pub target: Option<(Arc<Target>, Arc<Load>)>,
     /// Who was at the other end when the connection was made, whoever that is.
     pub connected: Option<String>,
+    /// Its client closed the connection, and whether the node has seen that.
+    pub client_left: bool,
+    saw_client_leave: bool,
+    awaits: Awaits,
+}
+
+/// What a request waits for at its node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Awaits {
+    /// A connection to a target, with its proof.
+    Connection,
+    /// The controller's answer to the question of this key.
+    Controller { key: u64 },
+    /// The last look before its bytes go out.
+    Sending,
+    /// Its target's response.
+    Target,
 }
 
 impl RequestRun {
@@ -37,6 +55,14 @@
     }
 }
 
+/// Of a thousand requests, so many lose their client before their answer.
+const LEAVES_PER_MILLE: u64 = 40;
+/// Most of these leave within the time of an ordinary request, a few wait longer.
+const LEAVES_SOON_US: u64 = 8_000;
+const LEAVES_LATE_US: u64 = 2_000_000;
+const LATE_PER_MILLE: u64 = 200;
+/// A client that left comes back with its key after this at most.
+const COMES_BACK_US: u64 = 1_000_000;
 const BEHIND_US: u64 = 300_000;
 /// After its deadline a request may still wait for the settlement of its ticket.
 const SETTLED_US: u64 = 2_000_000;
@@ -76,11 +102,11 @@
         let nodes: Vec<usize> =
             (0..self.data.len()).filter(|at| behind(*at) || self.is_ready(*at)).collect();
         self.ledger.asked(id, service != "catalogue");
+        let request = self.requests.len() as u64;
         if nodes.is_empty() {
-            return self.ledger.told(id, Told::Unreached);
+            return self.ledger.told(id, request, Told::Unreached);
         }
         let data = nodes[self.random.below(nodes.len() as u64) as usize];
-        let request = self.requests.len() as u64;
         let life = self.data[data].life;
         let run = RequestRun {
             id,
@@ -93,9 +119,67 @@
             course: None,
             target: None,
             connected: None,
+            client_left: false,
+            saw_client_leave: false,
+            awaits: Awaits::Connection,
         };
         self.requests.insert(request, run);
         self.after(500, Event::Arrive { request, data, life });
+        if self.random.chance(LEAVES_PER_MILLE) {
+            let is_late = self.random.chance(LATE_PER_MILLE);
+            let most_us = if is_late { LEAVES_LATE_US } else { LEAVES_SOON_US };
+            let leaves_us = self.random.below(most_us);
+            self.after(leaves_us, Event::ClientLeaves { request });
+        }
+    }
+
+    /// A client closes its connection before its answer; one with a key may come back with it.
+    pub fn client_leaves(&mut self, request: u64) {
+        let Some(run) = self.requests.get_mut(&request) else { return };
+        if run.course.is_none() || self.data[run.data].life != run.life {
+            return;
+        }
+        run.client_left = true;
+        let (id, keyed, goes, service) = (run.id, run.keyed, run.goes, run.service);
+        let (data, life) = (run.data, run.life);
+        self.ledger.left(id);
+        let seen_us = self.random.below(CLIENT_LOOK_MS * 1_000);
+        self.after(seen_us, Event::SeesClientLeave { request, data, life });
+        if keyed && service != "catalogue" && goes < 3 && self.random.chance(500) {
+            let back_us = self.random.below(COMES_BACK_US);
+            self.after(back_us, Event::ClientComesBack { request });
+        }
+    }
+
+    pub fn client_comes_back(&mut self, request: u64) {
+        let Some(run) = self.requests.get(&request) else { return };
+        let (id, keyed, goes, service) = (run.id, run.keyed, run.goes, run.service);
+        self.client_sends(id, service, keyed, goes + 1);
+    }
+
+    /// The node's wait ends, unless it is for a target that may be running a one-time request.
+    pub fn sees_client_leave(&mut self, request: u64, data: usize, life: u64) {
+        let Some(run) = self.requests.get_mut(&request) else { return };
+        if run.course.is_none() || self.data[data].life != life {
+            return;
+        }
+        run.saw_client_leave = true;
+        let is_lookup = run.service == "catalogue";
+        let left = || "the client left".to_string();
+        let event = match run.awaits {
+            Awaits::Connection => postbarrow_node::Event::Unconnected(left()),
+            Awaits::Controller { key } => {
+                self.data[data].waits.remove(&key);
+                self.data_input(data, Input::Withdraw { key });
+                postbarrow_node::Event::Answered(Response::TimedOut)
+            }
+            Awaits::Target if is_lookup => {
+                let passed = Passed::Unknown { late: false, why: left() };
+                postbarrow_node::Event::Passed(passed)
+            }
+            Awaits::Sending | Awaits::Target => return,
+        };
+        self.go_on(request, data, event);
     }
 
     /// Requests that a node took, in its present life, and did not answer in time.
@@ -111,7 +195,7 @@
         let Some(run) = self.requests.get(&request) else { return };
         let (id, service, keyed) = (run.id, run.service, run.keyed);
         if self.data[data].life != life {
-            return self.ledger.told(id, Told::Unreached);
+            return self.ledger.told(id, request, Told::Unreached);
         }
         let one_time = service != "catalogue";
         let about = About { one_time, keyed, ..About::default() };
@@ -163,23 +247,23 @@
         let table = self.data[data].table.clone();
         let Some(run) = self.requests.get_mut(&request) else { return };
         let Some(course) = &mut run.course else { return };
-        let now = Now { now_ms, table: &table, serves, number };
+        let client_left = run.saw_client_leave;
+        let now = Now { now_ms, table: &table, serves, number, client_left };
         match course.handle(&now, event) {
             Step::Connect { target, load, .. } => {
                 run.target = Some((target.clone(), load));
+                run.awaits = Awaits::Connection;
                 self.connect(request, data, &target);
             }
-            Step::AskTicket { ticket, wait_ms } => self.send_to_controller(
-                data,
-                Request::Ticket(ticket),
-                wait_ms,
-                Waits::Request(request),
-            ),
+            Step::AskTicket { ticket, wait_ms } => {
+                self.ask_for(request, data, Request::Ticket(ticket), wait_ms);
+            }
             Step::Settle { ticket, settlement, response, wait_ms } => {
                 let settle = Request::Settle { ticket, settlement, response };
-                self.send_to_controller(data, settle, wait_ms, Waits::Request(request));
+                self.ask_for(request, data, settle, wait_ms);
             }
             Step::Pass { until_ms, .. } => {
+                run.awaits = Awaits::Sending;
                 let life = self.data[data].life;
                 self.after(20, Event::Send { request, data, life, until_ms });
             }
@@ -193,9 +277,31 @@
         }
     }
 
+    /// Asks the controller on behalf of a request, which waits for the answer.
+    fn ask_for(&mut self, request: u64, data: usize, question: Request, wait_ms: u64) {
+        let key = self.next_question_key(data);
+        if let Some(run) = self.requests.get_mut(&request) {
+            run.awaits = Awaits::Controller { key };
+        }
+        self.send_question(data, key, question, wait_ms, Waits::Request(request));
+    }
+
+    /// The last look before the first byte: the client is still there, for all that can be seen.
+    pub fn may_send_for_client(&mut self, request: u64) -> bool {
+        let Some(run) = self.requests.get_mut(&request) else { return false };
+        run.saw_client_leave |= run.client_left;
+        if !run.client_left {
+            run.awaits = Awaits::Target;
+        }
+        !run.client_left
+    }
+
     fn end_request(&mut self, request: u64, verdict: Verdict) {
         let Some(run) = self.requests.get_mut(&request) else { return };
         run.course = None;
+        if run.client_left {
+            return;
+        }
         let (id, keyed, goes, service) = (run.id, run.keyed, run.goes, run.service);
         let response = verdict.into_response();
         let header = |name: &str| {
@@ -211,7 +317,7 @@
         if told == Told::Ran && header("x-id") != Some(id.to_string()) {
             self.ledger.violate(format!("request {id} was given another's response"));
         }
-        self.ledger.told(id, told);
+        self.ledger.told(id, request, told);
         let again = matches!(told, Told::Unknown | Told::Pending);
         if keyed && again && goes < 3 {
             self.client_sends(id, service, true, goes + 1);
--- a/crates/simulation/src/search/forwarded.rs
+++ b/crates/simulation/src/search/forwarded.rs
@@ -7,7 +7,7 @@
 use postbarrow_controller_client::Effect;
 use postbarrow_messages::{Message, Request};
 use postbarrow_state::{Call, Name, Record};
-use postbarrow_transport::Slab;
+use postbarrow_transport::QuestionKeys;
 
 /// One caller's call, at the client of one member.
 #[derive(Clone, Debug)]
@@ -61,9 +61,9 @@
 }
 
 impl ForwardedCalls {
-    /// As the programs draw keys: from a `Slab` of this life.
+    /// As the programs draw keys: from the `QuestionKeys` of this life.
     fn key(&self, question: usize) -> u64 {
-        Slab::new(self.questions[question].life).insert(())
+        QuestionKeys::new(self.questions[question].life).next()
     }
 
     fn question_of(&self, state: &ForwardedState, client: usize, key: u64) -> Option<usize> {
--- a/crates/simulation/src/search/request.rs
+++ b/crates/simulation/src/search/request.rs
@@ -1,7 +1,9 @@
 //! Model of two requests through one node: the real `Course` over modelled connections.
 
 use super::Model;
-use super::request_course::{DEADLINE_MS, Fed, Moment, PassedAs, Phase, START_MS, Views, as_fed};
+use super::request_course::{
+    DEADLINE_MS, Fed, Moment, PassedAs, Phase, START_MS, Settled, TicketEnd, Views, as_fed,
+};
 use super::request_state::RequestState;
 use super::request_wire::{Connection, Content, Kind, Use};
 use std::cell::RefCell;
@@ -17,6 +19,8 @@
     pub replaces: u8,
     /// The node may stand still beyond its deadlines, and its lease may end.
     pub freezes: bool,
+    /// Clients may leave at any moment.
+    pub leaves: bool,
 }
 
 /// Two requests through one node to two targets.
@@ -24,6 +28,7 @@
     kinds: [Kind; 2],
     logged: bool,
     strict: bool,
+    looks: bool,
     faults: Faults,
     views: RefCell<Views>,
 }
@@ -33,7 +38,12 @@
     /// their targets.
     pub fn new(kinds: [Kind; 2], logged: bool, faults: Faults) -> Requests {
         let views = RefCell::new(Views::new(kinds, logged));
-        Requests { kinds, logged, strict: true, faults, views }
+        Requests { kinds, logged, strict: true, looks: true, faults, views }
+    }
+
+    /// Nobody looks for the client right before the first byte.
+    pub fn without_a_last_look(self) -> Requests {
+        Requests { looks: false, ..self }
     }
 
     /// A nameless word 'not run' counts on every response of a connection, not on its first alone.
@@ -77,6 +87,12 @@
     },
     Closes(usize),
     Replaces(usize),
+    /// The client closes its connection.
+    Leaves(usize),
+    /// The node sees that it did, while it waits for something else.
+    SeesGone(usize),
+    /// The node, which waits for a socket, gives up what it waits for: its client left.
+    Abandons(usize),
     /// Deadlines pass, as for a node that was frozen.
     TimePasses,
     LeaseEnds,
@@ -85,10 +101,12 @@
 impl Requests {
     fn feed(&self, state: &mut RequestState, client: usize, fed: Fed) {
         let now_ms = if state.late { START_MS + DEADLINE_MS } else { START_MS };
-        let moment = Moment { client, now_ms, serves: state.serves, fed };
+        let client_left = state.seen_gone[client];
+        let moment = Moment { client, now_ms, serves: state.serves, client_left, fed };
         let mut views = self.views.borrow_mut();
         state.view = views.after(state.view, moment);
         state.phases = views.phases(state.view);
+        state.tickets = views.tickets(state.view);
     }
 
     fn client_actions(&self, state: &RequestState, client: usize) -> Vec<RequestAction> {
@@ -119,7 +137,50 @@
                 vec![Writes(client), WriteRefused(client)]
             }
             Phase::Pass => vec![Writes(client)],
-            Phase::Answered(_) | Phase::PromisedNotRun | Phase::ToldUnknown => Vec::new(),
+            Phase::Answered(_) | Phase::PromisedNotRun | Phase::ToldUnknown | Phase::ClientLeft => {
+                Vec::new()
+            }
+        }
+    }
+
+    /// What a client that may leave, and a node that may see it, do. A one-time request at its
+    /// target is not watched.
+    fn leaving_actions(&self, state: &RequestState, client: usize) -> Vec<RequestAction> {
+        use RequestAction::*;
+        let is_at_work = matches!(
+            state.phases[client],
+            Phase::Connect(_) | Phase::AskTicket | Phase::Settle | Phase::Pass
+        );
+        if !state.left.leaves || !is_at_work {
+            return Vec::new();
+        }
+        if !state.gone[client] {
+            return vec![Leaves(client)];
+        }
+        let is_reading = state.is_reading(client);
+        let is_watched = !is_reading || self.kinds[client] == Kind::Lookup;
+        let mut actions = Vec::new();
+        if is_watched && !state.seen_gone[client] {
+            actions.push(SeesGone(client));
+        }
+        let waits = match state.phases[client] {
+            Phase::Pass => is_reading,
+            Phase::Connect(target) => state.resting(target).is_none(),
+            _ => true,
+        };
+        if is_watched && waits {
+            actions.push(Abandons(client));
+        }
+        actions
+    }
+
+    /// As a wait that ends with `Waited::ClientLeft` or `Unreceived::ClientLeft`.
+    fn abandons(&self, state: &mut RequestState, client: usize) {
+        state.seen_gone[client] = true;
+        match state.phases[client] {
+            Phase::Connect(_) => self.feed(state, client, Fed::Unconnected),
+            Phase::AskTicket | Phase::Settle => self.feed(state, client, Fed::Unheard),
+            _ => self.ends(state, client, PassedAs::Unknown { late: false }),
         }
     }
 
@@ -166,10 +227,16 @@
         self.feed(state, client, Fed::Connected);
     }
 
-    /// As `Straight::pass` up to the end of its write.
+    /// As `TargetConnection::exchange` up to the end of its write.
     fn writes(&self, state: &mut RequestState, client: usize) {
         let Some(at) = state.connection_of(client) else { return };
         let connection = &mut state.connections[at];
+        if self.looks && state.gone[client] {
+            state.seen_gone[client] = true;
+            connection.used = Use::Dropped;
+            return self.feed(state, client, Fed::Passed(PassedAs::Unsent));
+        }
+        state.sent_for_nobody[client] |= state.gone[client];
         if !state.serves {
             connection.used = Use::Dropped;
             return self.feed(state, client, Fed::Passed(PassedAs::Unsent));
@@ -196,6 +263,26 @@
     }
 }
 
+impl Requests {
+    /// A ticket is settled with the truth, and none is left open by a request that ended.
+    fn check_ticket(&self, state: &RequestState, client: usize, runs: bool) -> Result<(), String> {
+        let is_over = !matches!(
+            state.phases[client],
+            Phase::Away | Phase::Connect(_) | Phase::AskTicket | Phase::Settle | Phase::Pass
+        );
+        match state.tickets[client] {
+            TicketEnd::Open if is_over => Err(format!("the ticket of request {client} stays open")),
+            TicketEnd::Settled(Settled::Unsent) if runs && is_over => {
+                Err(format!("request {client} was settled as unsent and ran, or will"))
+            }
+            TicketEnd::Settled(Settled::Ran) if !runs => {
+                Err(format!("request {client} was settled as run and never ran"))
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
 impl Model for Requests {
     type State = RequestState;
     type Action = RequestAction;
@@ -204,6 +291,10 @@
         RequestState {
             view: 0,
             phases: [Phase::Away; 2],
+            tickets: [TicketEnd::None; 2],
+            gone: [false; 2],
+            seen_gone: [false; 2],
+            sent_for_nobody: [false; 2],
             connections: Vec::new(),
             lives: [0, 0],
             ran: [0, 0],
@@ -217,6 +308,7 @@
         let standing = state;
         let mut actions: Vec<RequestAction> =
             (0..2).flat_map(|client| self.client_actions(state, client)).collect();
+        actions.extend((0..2).flat_map(|client| self.leaving_actions(state, client)));
         for at in 0..standing.connections.len() {
             actions.extend(self.target_actions(state, at));
         }
@@ -269,6 +361,9 @@
                 next.connections[at].closed = true;
             }
             Replaces(target) => next.replaces(target),
+            Leaves(client) => next.gone[client] = true,
+            SeesGone(client) => next.seen_gone[client] = true,
+            Abandons(client) => self.abandons(&mut next, client),
             TimePasses => next.late = true,
             LeaseEnds => next.serves = false,
         }
@@ -293,6 +388,10 @@
             if *phase == Phase::PromisedNotRun && (ran > 0 || will) {
                 return Err(format!("request {client} was told 'not run' and ran, or will"));
             }
+            if standing.sent_for_nobody[client] {
+                return Err(format!("request {client} went out after its client had left"));
+            }
+            self.check_ticket(standing, client, ran > 0 || will)?;
         }
         Ok(())
     }
--- a/crates/simulation/src/search/request_course.rs
+++ b/crates/simulation/src/search/request_course.rs
@@ -4,7 +4,9 @@
 use postbarrow_messages::Response;
 use postbarrow_node::{Course, Event, Go, Now, Passed, Step, Told};
 use postbarrow_routing::{Entry, Found, Table};
-use postbarrow_state::{Kind as RouteKind, Labels, Name, PlanHead, Route, Service, State, Target};
+use postbarrow_state::{
+    Kind as RouteKind, Labels, Name, PlanHead, Route, Service, Settlement, State, Target,
+};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -44,6 +46,8 @@
     pub client: usize,
     pub now_ms: u64,
     pub serves: bool,
+    /// The node has seen that the client left.
+    pub client_left: bool,
     pub fed: Fed,
 }
 
@@ -61,12 +65,33 @@
     /// The client was told that its request did not run.
     PromisedNotRun,
     ToldUnknown,
+    /// Nobody was there to be told.
+    ClientLeft,
+}
+
+/// What became of a request's ticket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum TicketEnd {
+    /// None was asked for.
+    None,
+    /// Asked for, and its end not told.
+    Open,
+    Settled(Settled),
+}
+
+/// How a ticket was settled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Settled {
+    Ran,
+    Unsent,
+    Unknown,
 }
 
 /// Where both courses stand: their phases, and all that decides their next steps.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct View {
     pub phases: [Phase; 2],
+    pub tickets: [TicketEnd; 2],
     fingerprint: String,
 }
 
@@ -93,6 +118,11 @@
         self.met[view].0.phases
     }
 
+    /// What became of the requests' tickets in this view.
+    pub fn tickets(&self, view: usize) -> [TicketEnd; 2] {
+        self.met[view].0.tickets
+    }
+
     /// The view after an event.
     pub fn after(&mut self, view: usize, moment: Moment) -> usize {
         if let Some(known) = self.after.get(&(view, moment)) {
@@ -118,20 +148,41 @@
         Course::new(go(client, logged), entry)
     });
     let mut phases = [Phase::Away, Phase::Away];
+    let mut tickets = [TicketEnd::None, TicketEnd::None];
     for (number, moment) in moments.iter().enumerate() {
         let now = Now {
             now_ms: moment.now_ms,
             table: &table,
             serves: moment.serves,
             number: number as u64,
+            client_left: moment.client_left,
         };
         let step = courses[moment.client].handle(&now, event(&moment.fed));
+        let ticket = &mut tickets[moment.client];
+        *ticket = ticket_after(*ticket, moment.fed, &step);
         phases[moment.client] = phase(step);
     }
     let loads: BTreeMap<&Name, String> =
         table.loads().iter().map(|(name, load)| (name, format!("{load:?}"))).collect();
     let budget = entry(&table, Kind::Lookup).budget.clone();
-    View { phases, fingerprint: format!("{courses:?} {loads:?} {budget:?}") }
+    View { phases, tickets, fingerprint: format!("{courses:?} {loads:?} {budget:?}") }
+}
+
+/// A ticket is open from its question on; what was settled with the controller's word or told at the
+/// end is its end.
+fn ticket_after(ticket: TicketEnd, fed: Fed, step: &Step) -> TicketEnd {
+    match step {
+        Step::AskTicket { .. } => TicketEnd::Open,
+        Step::Done { settle: Some((_, settlement, _)), .. } => {
+            TicketEnd::Settled(match settlement {
+                Settlement::Ran => Settled::Ran,
+                Settlement::Unsent => Settled::Unsent,
+                Settlement::Unknown => Settled::Unknown,
+            })
+        }
+        _ if fed == Fed::Settled => TicketEnd::Settled(Settled::Unsent),
+        _ => ticket,
+    }
 }
 
 fn event(fed: &Fed) -> Event {
@@ -178,6 +229,7 @@
                 Phase::Answered(made_for.parse().unwrap_or(usize::MAX))
             }
             Told::TargetFailed(_) | Told::TargetLate(_) | Told::TicketUnknown => Phase::ToldUnknown,
+            Told::ClientLeft => Phase::ClientLeft,
             _ if verdict.about.sent => Phase::ToldUnknown,
             _ => Phase::PromisedNotRun,
         },
--- a/crates/simulation/src/search/request_state.rs
+++ b/crates/simulation/src/search/request_state.rs
@@ -1,7 +1,7 @@
 //! Where two requests, their connections and targets stand.
 
 use super::request::Faults;
-use super::request_course::Phase;
+use super::request_course::{Phase, TicketEnd};
 use super::request_wire::{Answer, Connection, Content, Use};
 
 /// Where all stand.
@@ -10,6 +10,12 @@
     /// Where the courses stand, by the number of their view.
     pub(super) view: usize,
     pub(super) phases: [Phase; 2],
+    pub(super) tickets: [TicketEnd; 2],
+    /// Clients that closed their connection, and those of whom the node has seen it.
+    pub(super) gone: [bool; 2],
+    pub(super) seen_gone: [bool; 2],
+    /// Requests of which a byte went out after their client had left.
+    pub(super) sent_for_nobody: [bool; 2],
     pub(super) connections: Vec<Connection>,
     pub(super) lives: [u8; 2],
     pub(super) ran: [u8; 2],
--- a/crates/simulation/src/search/request_wire.rs
+++ b/crates/simulation/src/search/request_wire.rs
@@ -1,7 +1,7 @@
 //! Connections to two targets, as bytes and resets leave them.
 //!
-//! The node's end mirrors `programs/data-plane/src/straight.rs` (`is_fresh`, `pass` from the gate
-//! to its last line) and `upstream.rs` (`Pools::take`); the reading of a name mirrors
+//! The node's end mirrors `programs/data-plane/src/target_connection.rs` (`is_fresh`, `exchange` from
+//! the last look on, `read_own`) and `pools.rs` (`Pools::take`); the reading of a name mirrors
 //! `platform/src/front.rs` (`Named::heard`).
 
 use postbarrow_node::Passed;
@@ -89,7 +89,7 @@
         }
     }
 
-    /// As `Straight::is_fresh`: nothing came since it was given back, and it is not closed.
+    /// As `TargetConnection::is_fresh`: nothing came since it was given back, and it is not closed.
     pub fn is_fresh(&self) -> bool {
         self.inbox.is_empty() && !self.closed
     }
@@ -111,7 +111,7 @@
         }
     }
 
-    /// As `Straight::pass` after its write: reads up to a response that is not another's. `rest`:
+    /// As `TargetConnection::read_own`: reads up to a response that is not another's. `rest`:
     /// bytes that follow it are already read in.
     pub fn read(&mut self, client: usize, rest: bool, strict: bool) -> Option<Read> {
         let unknown = |why: &str| Passed::Unknown { late: false, why: why.into() };
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -208,6 +208,11 @@
             }
             Event::Synced { .. } | Event::Page { .. } | Event::Encoded { .. } => {}
             Event::Arrive { request, data, life } => self.request_arrives(request, data, life),
+            Event::ClientLeaves { request } => self.client_leaves(request),
+            Event::SeesClientLeave { request, data, life } => {
+                self.sees_client_leave(request, data, life)
+            }
+            Event::ClientComesBack { request } => self.client_comes_back(request),
             Event::Go { request, data, life, event } => {
                 if self.data[data].life == life {
                     self.go_on(request, data, event);
--- a/crates/simulation/tests/failures.rs
+++ b/crates/simulation/tests/failures.rs
@@ -17,6 +17,15 @@
     }
 }
 
+/// Each run has clients that leave at any point of their request: what they leave behind breaks no
+/// promise, and nothing is passed on for them (`World::check_pass`).
+#[test]
+fn clients_leave_amid_every_trouble() {
+    let runs = (1..=8).map(|seed| check("clients leave", &Scenario::everything(seed)));
+    let left: usize = runs.map(|ended| ended.told.left).sum();
+    assert!(left > 100, "only {left} clients left");
+}
+
 macro_rules! faults {
     ($($name:ident: $fault:expr,)*) => {
         $(#[test] fn $name() { each($fault); })*
--- a/crates/simulation/tests/search.rs
+++ b/crates/simulation/tests/search.rs
@@ -18,7 +18,7 @@
 
 /// Events from nothing to a one-time request that ran and was told as not run.
 const SHORTEST_WAY_TO_A_FALSE_REFUSAL: usize = 11;
-const NONE: Faults = Faults { strays: 0, closes: 0, replaces: 0, freezes: false };
+const NONE: Faults = Faults { strays: 0, closes: 0, replaces: 0, freezes: false, leaves: false };
 const BOTH_ONE_TIME: [Kind; 2] = [Kind::OneTime, Kind::OneTime];
 const MIXED: [Kind; 2] = [Kind::OneTime, Kind::Lookup];
 
@@ -59,6 +59,27 @@
     covers("tickets, replaces", &Requests::new(MIXED, true, Faults { replaces: 1, ..NONE }));
 }
 
+#[test]
+fn clients_that_leave_at_any_moment() {
+    let leaves = Faults { leaves: true, ..NONE };
+    covers("leaves", &Requests::new(MIXED, false, leaves));
+    covers("leaves and closes", &Requests::new(MIXED, false, Faults { closes: 1, ..leaves }));
+}
+
+#[test]
+fn tickets_of_the_log_and_clients_that_leave() {
+    let leaves = Faults { leaves: true, ..NONE };
+    covers("tickets, leaves", &Requests::new(MIXED, true, leaves));
+}
+
+#[test]
+fn without_a_last_look_for_the_client_a_request_goes_out_for_nobody() {
+    let blind = Requests::new(MIXED, false, Faults { leaves: true, ..NONE });
+    let found = search(&blind.without_a_last_look(), BOUNDS);
+    let found = found.expect_err("the fault is within the bounds");
+    assert!(found.broken.contains("went out after its client had left"), "{}", found.broken);
+}
+
 /// `cargo test -p postbarrow-simulation --test search -- --ignored`
 #[test]
 #[ignore = "two wider searches of a minute in all, beyond the everyday ones above"]
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,11 +3,13 @@
 mod clock;
 mod link;
 mod listen;
-mod slab;
+mod poll;
+mod question_keys;
 mod unheard;
 
 pub use clock::{clock_ms, random};
 pub use link::Links;
 pub use listen::listen;
-pub use slab::Slab;
-pub use unheard::give_up_unheard;
+pub use poll::{Interest, Readiness, poll};
+pub use question_keys::QuestionKeys;
+pub use unheard::{give_up_unheard, probe_the_silent};
--- /dev/null
+++ b/crates/transport/src/poll/tests.rs
@@ -0,0 +1,51 @@
+//! Tests of `poll`.
+
+use super::*;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener};
+
+const HANG_MS: u64 = 60_000;
+
+fn pair() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let near = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (far, _) = listener.accept().unwrap();
+    (near, far)
+}
+
+#[test]
+fn bytes_and_room_are_told_and_silence_is_not() {
+    let (near, mut far) = pair();
+    let [silent] = poll([(&near, Interest::Read)], 0).unwrap();
+    assert!(!silent.is_ready() && !silent.is_hung_up());
+    let [room] = poll([(&near, Interest::Write)], HANG_MS).unwrap();
+    assert!(room.is_ready() && !room.is_readable());
+    far.write_all(b"a").unwrap();
+    let [bytes] = poll([(&near, Interest::Read)], HANG_MS).unwrap();
+    assert!(bytes.is_readable() && !bytes.is_hung_up());
+}
+
+#[test]
+fn a_hangup_is_told_behind_bytes_that_nobody_read() {
+    for interest in [Interest::Hangup, Interest::Read, Interest::Write] {
+        let (mut near, mut far) = pair();
+        far.write_all(b"the next request").unwrap();
+        let [open] = poll([(&near, Interest::Hangup)], 0).unwrap();
+        assert!(!open.is_ready(), "bytes alone are no hangup");
+        far.shutdown(Shutdown::Write).unwrap();
+        let [left] = poll([(&near, interest)], HANG_MS).unwrap();
+        assert!(left.is_hung_up(), "{interest:?}");
+        let mut read = Vec::new();
+        near.read_to_end(&mut read).unwrap();
+        assert_eq!(read, b"the next request", "the bytes are still there");
+    }
+}
+
+#[test]
+fn one_of_two_ends_the_wait() {
+    let (quiet, _far) = pair();
+    let (near, far) = pair();
+    drop(far);
+    let found = poll([(&quiet, Interest::Read), (&near, Interest::Hangup)], HANG_MS).unwrap();
+    assert!(!found[0].is_ready() && found[1].is_hung_up());
+}
--- /dev/null
+++ b/crates/transport/src/question_keys.rs
@@ -0,0 +1,28 @@
+//! Keys of the questions that one life of a process asks others.
+
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+
+/// Gives each question of this process's life a key of its own, from any thread. Keys begin at
+/// random bits, so that an answer to a question of an earlier life at the same address finds none
+/// of this one; and none comes twice, so that a late answer finds no other question.
+#[derive(Debug)]
+pub struct QuestionKeys {
+    life: u64,
+    given: AtomicU64,
+}
+
+impl QuestionKeys {
+    /// `life` is drawn at random for each process.
+    pub fn new(life: u64) -> QuestionKeys {
+        QuestionKeys { life, given: AtomicU64::new(0) }
+    }
+
+    /// A key that never came before in this life.
+    pub fn next(&self) -> u64 {
+        let number = self.given.fetch_add(1, Relaxed).wrapping_add(1);
+        self.life.wrapping_add(number)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/transport/src/unheard.rs
+++ b/crates/transport/src/unheard.rs
@@ -1,6 +1,10 @@
+//! Peers that vanish without a word: a machine without power, or behind a cut.
+
+use postbarrow_constants::traffic::{KEEPALIVE_IDLE_MS, KEEPALIVE_INTERVAL_MS, KEEPALIVE_PROBES};
+use socket2::{SockRef, TcpKeepalive};
 use std::io;
 use std::net::TcpStream;
-use std::os::fd::AsRawFd;
+use std::time::Duration;
 
 /// From now on the connection ends once what was sent is not acknowledged for so long; 0 is the
 /// system's own patience. Without it bytes to a machine that lost its power vanish for minutes.
@@ -8,14 +12,21 @@
 /// # Errors
 /// The socket takes no such option.
 pub fn give_up_unheard(stream: &TcpStream, wait_ms: u64) -> io::Result<()> {
-    let wait = libc::c_uint::try_from(wait_ms).unwrap_or(libc::c_uint::MAX);
-    let size = size_of::<libc::c_uint>() as libc::socklen_t;
-    let place = std::ptr::from_ref(&wait).cast();
-    let done = unsafe {
-        let (level, option) = (libc::IPPROTO_TCP, libc::TCP_USER_TIMEOUT);
-        libc::setsockopt(stream.as_raw_fd(), level, option, place, size)
-    };
-    if done == 0 { Ok(()) } else { Err(io::Error::last_os_error()) }
+    let wait = (wait_ms > 0).then(|| Duration::from_millis(wait_ms));
+    SockRef::from(stream).set_tcp_user_timeout(wait)
+}
+
+/// From now on a connection on which nothing comes is probed, and ends once its peer's machine
+/// answers no probe. A peer that is only silent stays.
+///
+/// # Errors
+/// The socket takes no such option.
+pub fn probe_the_silent(stream: &TcpStream) -> io::Result<()> {
+    let keepalive = TcpKeepalive::new()
+        .with_time(Duration::from_millis(KEEPALIVE_IDLE_MS))
+        .with_interval(Duration::from_millis(KEEPALIVE_INTERVAL_MS))
+        .with_retries(KEEPALIVE_PROBES);
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
 }
 
 #[cfg(test)]
--- a/crates/transport/src/unheard/tests.rs
+++ b/crates/transport/src/unheard/tests.rs
@@ -3,17 +3,31 @@
 use super::*;
 use std::net::TcpListener;
 
+fn connected() -> TcpStream {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    TcpStream::connect(listener.local_addr().unwrap()).unwrap()
+}
+
 #[test]
 fn the_system_takes_the_patience_and_gives_it_back() {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let stream = connected();
     for wait_ms in [400, 0] {
         give_up_unheard(&stream, wait_ms).unwrap();
-        let mut wait: libc::c_uint = 7;
-        let mut size = size_of::<libc::c_uint>() as libc::socklen_t;
-        let place = std::ptr::from_mut(&mut wait).cast();
-        let (level, option) = (libc::IPPROTO_TCP, libc::TCP_USER_TIMEOUT);
-        let done = unsafe { libc::getsockopt(stream.as_raw_fd(), level, option, place, &mut size) };
-        assert_eq!((done, u64::from(wait)), (0, wait_ms));
+        let wait = SockRef::from(&stream).tcp_user_timeout().unwrap();
+        assert_eq!(wait.map_or(0, |wait| wait.as_millis() as u64), wait_ms);
     }
 }
+
+#[test]
+fn the_system_probes_a_silent_peer_and_gives_it_up() {
+    let stream = connected();
+    assert!(!SockRef::from(&stream).keepalive().unwrap());
+    probe_the_silent(&stream).unwrap();
+    let socket = SockRef::from(&stream);
+    assert!(socket.keepalive().unwrap());
+    let idle = socket.tcp_keepalive_time().unwrap();
+    let interval = socket.tcp_keepalive_interval().unwrap();
+    assert_eq!(idle, Duration::from_millis(KEEPALIVE_IDLE_MS));
+    assert_eq!(interval, Duration::from_millis(KEEPALIVE_INTERVAL_MS));
+    assert_eq!(socket.tcp_keepalive_retries().unwrap(), KEEPALIVE_PROBES);
+}
--- a/programs/control-plane/src/asker.rs
+++ b/programs/control-plane/src/asker.rs
@@ -1,14 +1,19 @@
+//! Questions of operators and applications to whoever is controller.
+
 use crate::core::Command;
+use postbarrow_constants::coordination::CONTROLLER_ANSWER_SLACK_MS;
+use postbarrow_downstream::client_watch::{ClientWatch, Unreceived};
 use postbarrow_messages::{Request, Response};
+use postbarrow_transport::{QuestionKeys, clock_ms, random};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
 use std::sync::mpsc::{Sender, sync_channel};
-use std::time::Duration;
 
 /// Asks whoever is controller, on behalf of operators and applications.
 #[derive(Clone)]
 pub struct Asker {
     commands: Sender<Command>,
+    keys: Arc<QuestionKeys>,
     open: Arc<AtomicUsize>,
     stopping: Arc<AtomicBool>,
 }
@@ -24,21 +29,30 @@
 
 impl Asker {
     pub(crate) fn new(commands: Sender<Command>) -> Asker {
-        Asker { commands, open: Arc::default(), stopping: Arc::default() }
+        let keys = Arc::new(QuestionKeys::new(random()));
+        Asker { commands, keys, open: Arc::default(), stopping: Arc::default() }
     }
 
     /// The controller's response; `Unavailable` where nobody who could take the question was ever
-    /// sent it, `TimedOut` after so many milliseconds where somebody may have taken it.
-    pub fn ask(&self, request: Request, wait_ms: u64) -> Response {
+    /// sent it, `TimedOut` after so many milliseconds where somebody may have taken it. A question
+    /// whose caller leaves is withdrawn: what it did already stays done, and its end is unknown.
+    pub fn ask(&self, request: Request, wait_ms: u64, client: &ClientWatch) -> Response {
         let (reply, response) = sync_channel(1);
-        if self.commands.send(Command::Request { request, wait_ms, reply }).is_err() {
+        let key = self.keys.next();
+        if self.commands.send(Command::Request { key, request, wait_ms, reply }).is_err() {
             return Response::Unavailable;
         }
-        let patience = Duration::from_millis(wait_ms + 200);
-        response.recv_timeout(patience).unwrap_or(Response::TimedOut)
+        match client.receive(&response, clock_ms() + wait_ms + CONTROLLER_ANSWER_SLACK_MS) {
+            Ok(response) => response,
+            Err(Unreceived::ClientLeft) => {
+                let _ = self.commands.send(Command::Withdraw { key });
+                Response::TimedOut
+            }
+            Err(Unreceived::TimedOut | Unreceived::Disconnected) => Response::TimedOut,
+        }
     }
 
-    pub fn at_work(&self) -> AtWork {
+    pub(crate) fn at_work(&self) -> AtWork {
         self.open.fetch_add(1, SeqCst);
         AtWork(self.open.clone())
     }
--- a/programs/control-plane/src/core.rs
+++ b/programs/control-plane/src/core.rs
@@ -5,8 +5,8 @@
 use postbarrow_controller::{Contact, ControlNode, Effect, Input, PageResult, Snap};
 use postbarrow_controller_client::{ControllerClient, Effect as ClientEffect};
 use postbarrow_messages::{Envelope, Message, Request, Response};
-use postbarrow_transport::{Links, Slab, clock_ms, random};
-use std::collections::VecDeque;
+use postbarrow_transport::{Links, clock_ms};
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
@@ -24,10 +24,16 @@
         state: Vec<u8>,
     },
     Request {
+        /// Drawn from the process's `QuestionKeys`.
+        key: u64,
         request: Request,
         wait_ms: u64,
         reply: SyncSender<Response>,
     },
+    /// Nobody waits for the answer of this request any more.
+    Withdraw {
+        key: u64,
+    },
     Seeds(Vec<SocketAddr>),
     /// Hand over, give up the seat, and tell when this process may end.
     Stop(Sender<()>),
@@ -44,7 +50,8 @@
     own: SocketAddr,
     links: Links,
     controller_client: ControllerClient,
-    asks: Slab<SyncSender<Response>>,
+    /// Who waits for an answer, by the key of the request.
+    replies: HashMap<u64, SyncSender<Response>>,
     writes: Writes,
     fetches: Sender<Fetch>,
     commands: Sender<Command>,
@@ -64,18 +71,16 @@
         open_requests: Arc<AtomicUsize>,
     ) -> Self {
         let links = Links::new(own);
-        let (controller_client, asks, local) =
-            (ControllerClient::default(), Slab::new(random()), VecDeque::new());
         Core {
             node,
             own,
             links,
-            controller_client,
-            asks,
+            controller_client: ControllerClient::default(),
+            replies: HashMap::new(),
             writes,
             fetches,
             commands,
-            local,
+            local: VecDeque::new(),
             open_requests,
             stopping: None,
         }
@@ -134,11 +139,15 @@
             Command::Encoded { index, state } => {
                 self.handle(now_ms, Input::Encoded { index, state })
             }
-            Command::Request { request, wait_ms, reply } => {
-                let key = self.asks.insert(reply);
+            Command::Request { key, request, wait_ms, reply } => {
+                self.replies.insert(key, reply);
                 let effects = self.controller_client.ask(now_ms, key, request, wait_ms);
                 self.carry_out(effects);
             }
+            Command::Withdraw { key } => {
+                self.replies.remove(&key);
+                self.controller_client.withdraw(key);
+            }
             Command::Seeds(seeds) => self.handle(now_ms, Input::Seeds(seeds)),
             Command::Stop(done) => {
                 self.stopping = Some((Stopping::new(now_ms), done));
@@ -197,7 +206,7 @@
             match effect {
                 ClientEffect::Send { to, message } => self.send(to, message),
                 ClientEffect::Answer { key, response } => {
-                    if let Some(reply) = self.asks.take(key) {
+                    if let Some(reply) = self.replies.remove(&key) {
                         let _ = reply.try_send(response);
                     }
                 }
--- a/programs/control-plane/src/dialect.rs
+++ b/programs/control-plane/src/dialect.rs
@@ -1,15 +1,12 @@
-use crate::{Asker, operator};
+use crate::door::Callers;
+use crate::operator::Operators;
 use postbarrow_controller::{Listed, read_page};
-use std::io;
-use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// What operators, applications and the list of targets speak. The product's own dialect is `Own`.
 pub trait Dialect: Send + Sync {
-    /// Opens the door at which this process is asked; gives back where it is.
-    ///
-    /// # Errors
-    /// The address can't be bound.
-    fn open(&self, address: SocketAddr, asker: Asker) -> io::Result<SocketAddr>;
+    /// What operators and applications speak at this process's door.
+    fn callers(&self) -> Arc<dyn Callers>;
 
     /// The word in the query that names a page.
     fn page_word(&self) -> &'static str;
@@ -22,8 +19,8 @@
 pub struct Own;
 
 impl Dialect for Own {
-    fn open(&self, address: SocketAddr, asker: Asker) -> io::Result<SocketAddr> {
-        operator::start(address, asker)
+    fn callers(&self) -> Arc<dyn Callers> {
+        Arc::new(Operators)
     }
     fn page_word(&self) -> &'static str {
         "cursor"
--- /dev/null
+++ b/programs/control-plane/src/door.rs
@@ -0,0 +1,155 @@
+//! The door of a control node: connections of operators and applications, each on a small thread.
+
+use crate::Asker;
+use log::warn;
+use postbarrow_constants::plans::PLAN_TEXT_BYTES;
+use postbarrow_constants::traffic::{BODY_WAIT_MS, DESKS, STACK_BYTES};
+use postbarrow_downstream::body::{self, Body};
+use postbarrow_downstream::client_watch::ClientWatch;
+use postbarrow_downstream::connection::{Connection, Next, Patience};
+use postbarrow_downstream::head::{Head, Reject};
+use postbarrow_downstream::memory::Memory;
+use postbarrow_node::TargetResponse;
+use postbarrow_transport::clock_ms;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::thread;
+use std::time::Duration;
+
+/// Plans that may be under way at one door at once.
+const PLANS_AT_ONCE: u64 = 2;
+/// Pause after a connection that could not be taken.
+const ACCEPT_AGAIN_MS: u64 = 10;
+
+/// What the callers of a door speak.
+pub trait Callers: Send + Sync {
+    /// Answers a request that was read whole.
+    fn answer(&self, request: &CallerRequest<'_>) -> TargetResponse;
+
+    /// Answers one that could not be read.
+    fn reject(&self, status: u16, why: &str) -> TargetResponse;
+}
+
+/// A request at the door, read whole.
+pub struct CallerRequest<'a> {
+    pub head: &'a Head,
+    pub body: &'a [u8],
+    /// Asks the controller.
+    pub asker: &'a Asker,
+    /// Tells whether the caller still waits.
+    pub client: &'a ClientWatch<'a>,
+}
+
+impl CallerRequest<'_> {
+    /// A value in the query, as it stands there; empty where there is only the name.
+    pub fn query(&self, name: &str) -> Option<&str> {
+        let pairs = self.head.query().split('&');
+        let mut pairs = pairs.map(|pair| pair.split_once('=').unwrap_or((pair, "")));
+        pairs.find(|(known, _)| *known == name).map(|(_, value)| value)
+    }
+}
+
+/// Opens the door; gives back where it is.
+///
+/// # Errors
+/// The address can't be bound.
+pub fn open_door(
+    address: SocketAddr,
+    asker: Asker,
+    callers: Arc<dyn Callers>,
+) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(address)?;
+    let address = listener.local_addr()?;
+    let door = Door {
+        asker,
+        callers,
+        bodies: Memory::new(PLANS_AT_ONCE * PLAN_TEXT_BYTES as u64),
+        open: Arc::default(),
+    };
+    thread::Builder::new().name("door".into()).spawn(move || door.accept(&listener))?;
+    Ok(address)
+}
+
+#[derive(Clone)]
+struct Door {
+    asker: Asker,
+    callers: Arc<dyn Callers>,
+    bodies: Arc<Memory>,
+    /// Connections that are open.
+    open: Arc<AtomicUsize>,
+}
+
+impl Door {
+    fn accept(self, listener: &TcpListener) {
+        for stream in listener.incoming() {
+            let stream = match stream {
+                Ok(stream) => stream,
+                Err(error) => {
+                    warn!("door: accept: {error}");
+                    thread::sleep(Duration::from_millis(ACCEPT_AGAIN_MS));
+                    continue;
+                }
+            };
+            if self.open.load(Relaxed) >= DESKS {
+                continue;
+            }
+            self.open.fetch_add(1, Relaxed);
+            let door = self.clone();
+            let spawned = thread::Builder::new()
+                .name("caller".into())
+                .stack_size(4 * STACK_BYTES)
+                .spawn(move || {
+                    door.serve(stream);
+                    door.open.fetch_sub(1, Relaxed);
+                });
+            if spawned.is_err() {
+                self.open.fetch_sub(1, Relaxed);
+            }
+        }
+    }
+
+    /// Serves one connection until either side ends it.
+    fn serve(&self, stream: TcpStream) {
+        let Ok(mut connection) = Connection::new(stream) else { return };
+        loop {
+            let head = match connection.next(Patience::default(), || self.asker.is_stopping()) {
+                Next::Head(head) => head,
+                Next::Closed => return,
+                Next::Reject(reject) => return self.reject(&mut connection, reject),
+            };
+            let _at_work = self.asker.at_work();
+            let body = match self.read_body(&mut connection, &head) {
+                Ok(body) => body,
+                Err(reject) => return self.reject(&mut connection, reject),
+            };
+            let response = self.callers.answer(&CallerRequest {
+                head: &head,
+                body: &body.bytes,
+                asker: &self.asker,
+                client: &connection.watch(),
+            });
+            let close = head.close || self.asker.is_stopping();
+            if connection.write(&response, &head.method, close).is_err() || close {
+                return;
+            }
+        }
+    }
+
+    fn read_body(&self, connection: &mut Connection, head: &Head) -> Result<Body, Reject> {
+        if head.waits && connection.go_on().is_err() {
+            return Err(body::CLIENT_LEFT);
+        }
+        let until_ms = clock_ms() + BODY_WAIT_MS;
+        body::read(connection, head.length, PLAN_TEXT_BYTES as u64, &self.bodies, until_ms)
+    }
+
+    fn reject(&self, connection: &mut Connection, reject: Reject) {
+        if reject != body::CLIENT_LEFT {
+            let response = self.callers.reject(reject.status, reject.why);
+            let _ = connection.write(&response, "GET", true);
+            connection.linger();
+        }
+    }
+}
--- a/programs/control-plane/src/lib.rs
+++ b/programs/control-plane/src/lib.rs
@@ -5,6 +5,7 @@
 mod core;
 mod dialect;
 mod disk;
+mod door;
 mod list;
 mod opening;
 mod operator;
@@ -30,6 +31,7 @@
 
 pub use asker::Asker;
 pub use dialect::{Dialect, Own};
+pub use door::{CallerRequest, Callers, open_door};
 
 pub struct ControlPlane {
     commands: Sender<Command>,
@@ -78,7 +80,7 @@
         thread::Builder::new().name("control".into()).spawn(move || core.run(queue))?;
         let hand = commands.clone();
         listen(links, move |envelope| hand.send(Command::Envelope(envelope)).is_ok())?;
-        let http = dialect.open(startup.http, asker.clone())?;
+        let http = open_door(startup.http, asker.clone(), dialect.callers())?;
         Ok(ControlPlane { commands, address, http, asker })
     }
 
--- a/programs/control-plane/src/operator.rs
+++ b/programs/control-plane/src/operator.rs
@@ -1,17 +1,18 @@
-use crate::Asker;
+//! What operators speak at the product's own door.
+
+use crate::door::{CallerRequest, Callers};
 use crate::rehearse::{self, Allowed, NoController};
 use facet::Facet;
 use log::info;
 use postbarrow_constants::coordination::SUBMIT_WAIT_MS;
-use postbarrow_constants::plans::PLAN_TEXT_BYTES;
 use postbarrow_constants::traffic::RETRY_AFTER_S;
-use postbarrow_messages::{Request, Response as Told, Submission};
+use postbarrow_messages::{Request, Response, Submission};
+use postbarrow_node::TargetResponse;
 use postbarrow_plan::Plan;
 use postbarrow_routing::Traffic;
-use rouille::{Request as HttpRequest, Response, Server};
-use std::io::{self, Read};
-use std::net::SocketAddr;
-use std::thread;
+
+/// The operators of the product; each question goes to the controller.
+pub struct Operators;
 
 #[derive(Facet)]
 struct Refused {
@@ -32,30 +33,26 @@
     traffic: Traffic,
 }
 
-/// The operator's door, on every control node; each passes questions to the controller.
-pub fn start(address: SocketAddr, asker: Asker) -> io::Result<SocketAddr> {
-    let ask = {
-        let asker = asker.clone();
-        move |ask: Request, wait_ms: u64| asker.ask(ask, wait_ms)
-    };
-    let server = Server::new(address, move |request| {
-        let _at_work = asker.at_work();
+impl Callers for Operators {
+    fn answer(&self, request: &CallerRequest<'_>) -> TargetResponse {
+        let ask = |question: Request| request.asker.ask(question, SUBMIT_WAIT_MS, request.client);
         serve(request, &ask)
-    })
-    .map_err(|error| io::Error::other(error.to_string()))?;
-    let address = server.server_addr();
-    thread::Builder::new().name("operator".into()).spawn(move || server.run())?;
-    Ok(address)
+    }
+
+    fn reject(&self, status: u16, why: &str) -> TargetResponse {
+        refused(status, why, Vec::new())
+    }
 }
 
-fn serve(request: &HttpRequest, ask: &dyn Fn(Request, u64) -> Told) -> Response {
-    let url = request.url();
-    match (request.method(), url.as_str()) {
+type Ask<'a> = &'a dyn Fn(Request) -> Response;
+
+fn serve(request: &CallerRequest<'_>, ask: Ask<'_>) -> TargetResponse {
+    match (request.head.method.as_str(), request.head.path()) {
         ("POST", "/plans") => submit(request, ask),
-        ("GET", "/plan") => answer(ask(Request::Show, SUBMIT_WAIT_MS)),
-        ("GET", "/targets") => answer(ask(Request::Targets, SUBMIT_WAIT_MS)),
-        ("GET", "/members") => answer(ask(Request::Members, SUBMIT_WAIT_MS)),
-        ("GET", "/status") => answer(ask(Request::Status, SUBMIT_WAIT_MS)),
+        ("GET", "/plan") => tell(ask(Request::Show)),
+        ("GET", "/targets") => tell(ask(Request::Targets)),
+        ("GET", "/members") => tell(ask(Request::Members)),
+        ("GET", "/status") => tell(ask(Request::Status)),
         (_, "/plans" | "/plan" | "/targets" | "/members" | "/status") => {
             refused(405, "another method", Vec::new())
         }
@@ -63,21 +60,10 @@
     }
 }
 
-fn submit(request: &HttpRequest, ask: &dyn Fn(Request, u64) -> Told) -> Response {
-    let length = request.header("Content-Length").and_then(|text| text.parse::<u64>().ok());
-    if length.is_some_and(|length| length > PLAN_TEXT_BYTES as u64) {
-        return refused(413, "the plan is too large", Vec::new());
-    }
-    let mut given = Vec::new();
-    let body = request.data().map(|body| body.take(PLAN_TEXT_BYTES as u64 + 1));
-    let read = body.map(|mut body| body.read_to_end(&mut given));
-    if !matches!(read, Some(Ok(_))) || length.is_some_and(|length| length != given.len() as u64) {
-        return refused(400, "the body ended before its length", Vec::new());
-    }
-    if given.len() > PLAN_TEXT_BYTES {
-        return refused(413, "the plan is too large", Vec::new());
-    }
-    let plan = match Plan::read(&given) {
+/// Rehearses the plan on recent requests and hands it over. An operator that left meanwhile hands
+/// over nothing.
+fn submit(request: &CallerRequest<'_>, ask: Ask<'_>) -> TargetResponse {
+    let plan = match Plan::read(request.body) {
         Ok(plan) => plan,
         Err(findings) => {
             let rows = findings.findings.into_iter().map(|finding| Finding {
@@ -94,17 +80,17 @@
     };
     let traffic = match rehearse::traffic(&plan, ask) {
         Ok(traffic) => traffic,
-        Err(NoController) if allowed.is_bounded() => return answer(Told::Unavailable),
+        Err(NoController) if allowed.is_bounded() => return tell(Response::Unavailable),
         Err(NoController) => Traffic::unknown("no controller told of recent asks"),
     };
     let over = allowed.over(&traffic);
     if !over.is_empty() {
-        let refused = Over { error: over.join("; "), traffic };
-        return told(422, &refused);
+        return json(422, &Over { error: over.join("; "), traffic });
     }
-    let says = |name: &str| {
-        request.get_param(name).is_some_and(|value| value == "true" || value.is_empty())
-    };
+    if request.client.has_left() {
+        return tell(Response::Unavailable);
+    }
+    let says = |name: &str| request.query(name).is_some_and(|value| matches!(value, "" | "true"));
     let submission = Submission {
         version: plan.version.as_str().into(),
         base: plan.base.as_deref().map(Into::into),
@@ -113,36 +99,32 @@
         allow_empty: says("allow-empty"),
     };
     info!("operator: plan {} with {} routes", plan.version, plan.routes.len());
-    answer(with_traffic(ask(Request::Submit(submission), SUBMIT_WAIT_MS), &traffic))
+    tell(with_traffic(ask(Request::Submit(submission)), &traffic))
 }
 
 /// The controller's word on the plan, and beside it what the door measured.
-fn with_traffic(told: Told, traffic: &Traffic) -> Told {
-    let Told::Operator { status: 200, mut body } = told else { return told };
+fn with_traffic(response: Response, traffic: &Traffic) -> Response {
+    let Response::Operator { status: 200, mut body } = response else { return response };
     if body.pop() == Some(b'}') {
         body.extend(b",\"traffic\":");
         body.extend(facet_json::to_vec(traffic).unwrap_or_else(|_| b"null".to_vec()));
         body.push(b'}');
     }
-    Told::Operator { status: 200, body }
-}
-
-fn told<'f, T: Facet<'f>>(status: u16, value: &T) -> Response {
-    let body = facet_json::to_vec(value).unwrap_or_default();
-    Response::from_data("application/json", body).with_status_code(status)
+    Response::Operator { status: 200, body }
 }
 
-fn answer(told: Told) -> Response {
-    match told {
-        Told::Plan { version, offset, text } => Response::from_data("application/json", text)
-            .with_additional_header("Postbarrow-Version", version.to_string())
-            .with_additional_header("Postbarrow-Offset", offset.to_string()),
-        Told::Operator { status, body } => {
-            let response = Response::from_data("application/json", body).with_status_code(status);
-            if status == 503 { again(response) } else { response }
+fn tell(response: Response) -> TargetResponse {
+    match response {
+        Response::Plan { version, offset, text } => {
+            let mut response = whole(200, text);
+            response.headers.push(("Postbarrow-Version".into(), version.to_string()));
+            response.headers.push(("Postbarrow-Offset".into(), offset.to_string()));
+            response
         }
-        Told::Refused(why) => refused(400, &why, Vec::new()),
-        Told::Unavailable => again(refused(
+        Response::Operator { status: 503, body } => again(whole(503, body)),
+        Response::Operator { status, body } => whole(status, body),
+        Response::Refused(why) => refused(400, &why, Vec::new()),
+        Response::Unavailable => again(refused(
             503,
             "no controller is in reach; nothing was done, asking the same again is safe",
             Vec::new(),
@@ -155,12 +137,22 @@
     }
 }
 
-fn again(response: Response) -> Response {
-    response.with_additional_header("Retry-After", RETRY_AFTER_S.to_string())
+fn again(mut response: TargetResponse) -> TargetResponse {
+    response.headers.push(("Retry-After".into(), RETRY_AFTER_S.to_string()));
+    response
+}
+
+fn refused(status: u16, error: &str, findings: Vec<Finding>) -> TargetResponse {
+    json(status, &Refused { error: error.into(), findings })
+}
+
+fn json<'f, T: Facet<'f>>(status: u16, value: &T) -> TargetResponse {
+    whole(status, facet_json::to_vec(value).unwrap_or_default())
 }
 
-fn refused(status: u16, error: &str, findings: Vec<Finding>) -> Response {
-    told(status, &Refused { error: error.into(), findings })
+fn whole(status: u16, body: Vec<u8>) -> TargetResponse {
+    let headers = vec![("Content-Type".to_string(), "application/json".to_string())];
+    TargetResponse { status, headers, body }
 }
 
 #[cfg(test)]
--- a/programs/control-plane/src/rehearse.rs
+++ b/programs/control-plane/src/rehearse.rs
@@ -1,8 +1,9 @@
-use postbarrow_constants::coordination::SUBMIT_WAIT_MS;
-use postbarrow_messages::{Request, Response as Told};
+//! What a plan would change for recent requests, and how much of that its operator allows.
+
+use crate::door::CallerRequest;
+use postbarrow_messages::{Request, Response};
 use postbarrow_plan::Plan;
 use postbarrow_routing::{Recent, Traffic};
-use rouille::Request as HttpRequest;
 
 /// No controller told what recent requests would meet.
 #[derive(Debug, PartialEq, Eq)]
@@ -17,10 +18,14 @@
 }
 
 impl Allowed {
-    pub fn read(request: &HttpRequest) -> Result<Allowed, Vec<String>> {
+    /// Reads the bounds from a request's query.
+    ///
+    /// # Errors
+    /// Every bound that is no whole number.
+    pub fn read(request: &CallerRequest<'_>) -> Result<Allowed, Vec<String>> {
         let mut findings = Vec::new();
         let mut take = |name: &str| {
-            let text = request.get_param(name)?;
+            let text = request.query(name)?;
             let number = text.parse().ok();
             if number.is_none() {
                 findings.push(format!("{name} must be a whole number"));
@@ -61,17 +66,18 @@
     }
 }
 
-/// Recent asks through the plan in force and this one: on the door's own thread, before any Begin.
+/// Recent requests through the plan in force and this one: on the door's own thread, before any
+/// Begin.
 ///
 /// # Errors
 /// No controller answered: that says nothing of the plan, and must not refuse it.
-pub fn traffic(plan: &Plan, ask: &dyn Fn(Request, u64) -> Told) -> Result<Traffic, NoController> {
-    let Told::Recent { samples, seen, seconds } = ask(Request::Recent, SUBMIT_WAIT_MS) else {
+pub fn traffic(plan: &Plan, ask: &dyn Fn(Request) -> Response) -> Result<Traffic, NoController> {
+    let Response::Recent { samples, seen, seconds } = ask(Request::Recent) else {
         return Err(NoController);
     };
-    let text = match ask(Request::Show, SUBMIT_WAIT_MS) {
-        Told::Plan { text, .. } => text,
-        Told::TimedOut | Told::Unavailable => return Err(NoController),
+    let text = match ask(Request::Show) {
+        Response::Plan { text, .. } => text,
+        Response::TimedOut | Response::Unavailable => return Err(NoController),
         _ => return Ok(Traffic::unknown("no plan is in force to compare with")),
     };
     Ok(match Plan::read(&text) {
--- a/programs/data-plane/src/calls.rs
+++ b/programs/data-plane/src/calls.rs
@@ -4,6 +4,7 @@
 use facet::Facet;
 use postbarrow_constants::coordination::*;
 use postbarrow_constants::traffic::{COORDINATION_ASKS, RETRY_AFTER_S};
+use postbarrow_downstream::client_watch::ClientWatch;
 use postbarrow_messages::{Request, Response};
 use postbarrow_node::TargetResponse;
 use postbarrow_state::{Call, Change, Event, Name, Outcome};
@@ -78,7 +79,8 @@
     json(if ready { 200 } else { 503 }, &Ready { ready, version, offset: table.offset })
 }
 
-pub fn serve(shared: &Shared, head: &Head, body: &[u8], gone: impl Fn() -> bool) -> TargetResponse {
+/// Answers an application's call. A caller that leaves takes its question back, and its place is free.
+pub fn serve(shared: &Shared, head: &Head, body: &[u8], client: &ClientWatch) -> TargetResponse {
     let call = match read_call(head, body) {
         Ok(call) => call,
         Err((status, why)) => return error(status, &why),
@@ -87,7 +89,7 @@
         let Some(_place) = Place::take(&shared.watches, WATCHES) else {
             return error(503, "too many watches at this node");
         };
-        return watch(shared, call, gone);
+        return watch(shared, call, client);
     }
     let Some(_place) = Place::take(&shared.calls, COORDINATION_ASKS) else {
         return error(503, "this node is full");
@@ -100,7 +102,7 @@
     let id = repeat_id(&key, &call);
     let reads =
         matches!(call, Call::ReadKey { .. } | Call::ReadLock { .. } | Call::ReadNumber { .. });
-    let response = shared.ask(Request::Call { id: Some(id), call }, ASK_CONTROLLER_MS);
+    let response = shared.request(Request::Call { id: Some(id), call }, ASK_CONTROLLER_MS, client);
     match response {
         Response::Outcome(outcome) => tell(outcome),
         Response::Refused(why) => error(400, &why),
@@ -126,14 +128,14 @@
 }
 
 /// A long poll; it ends early when the node stops or the client is gone.
-fn watch(shared: &Shared, call: Call, gone: impl Fn() -> bool) -> TargetResponse {
+fn watch(shared: &Shared, call: Call, client: &ClientWatch) -> TargetResponse {
     let until_ms = clock_ms() + WATCH_WAIT_MS;
     let first = matches!(call, Call::Watch { after: None, .. });
-    let over = || clock_ms() >= until_ms || shared.stopping.load(Relaxed) || gone();
+    let over = || clock_ms() >= until_ms || shared.stopping.load(Relaxed) || client.has_left();
     let mut call = call;
     loop {
         let asked = Request::Call { id: None, call: call.clone() };
-        match shared.ask(asked, ASK_CONTROLLER_MS) {
+        match shared.request(asked, ASK_CONTROLLER_MS, client) {
             Response::Outcome(Outcome::Events { events, next })
                 if events.is_empty() && !first && !over() =>
             {
--- a/programs/data-plane/src/core.rs
+++ b/programs/data-plane/src/core.rs
@@ -1,12 +1,13 @@
+use crate::pools::Pools;
 use crate::share::Shared;
-use crate::upstream::Pools;
 use log::info;
 use postbarrow_constants::consensus::TICK_MS;
 use postbarrow_messages::{Envelope, Request, Response};
 use postbarrow_node::{DataNode, Effect, Input};
 use postbarrow_routing::Table;
 use postbarrow_state::Name;
-use postbarrow_transport::{Links, Slab, clock_ms, random};
+use postbarrow_transport::{Links, clock_ms};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::*;
@@ -16,10 +17,16 @@
 pub enum Command {
     Envelope(Envelope),
     Request {
+        /// Drawn from the process's `QuestionKeys`.
+        key: u64,
         request: Request,
         wait_ms: u64,
         reply: Option<SyncSender<Response>>,
     },
+    /// Nobody waits for the answer of this request any more.
+    Withdraw {
+        key: u64,
+    },
     Probed {
         instance: Name,
         sound: bool,
@@ -37,7 +44,8 @@
 pub struct Core {
     node: DataNode,
     links: Links,
-    asks: Slab<Option<SyncSender<Response>>>,
+    /// Who waits for an answer, by the key of the request.
+    replies: HashMap<u64, SyncSender<Response>>,
     shared: Arc<Shared>,
     ending: Option<(u64, Sender<()>)>,
 }
@@ -45,8 +53,7 @@
 impl Core {
     pub fn new(node: DataNode, shared: Arc<Shared>) -> Self {
         let links = Links::new(node.own().address);
-        let asks = Slab::new(random());
-        Core { node, links, asks, shared, ending: None }
+        Core { node, links, replies: HashMap::new(), shared, ending: None }
     }
 
     pub fn run(mut self, queue: Receiver<Command>) {
@@ -80,10 +87,16 @@
         let now_ms = clock_ms();
         match command {
             Command::Envelope(envelope) => self.handle(now_ms, Input::Receive(envelope)),
-            Command::Request { request, wait_ms, reply } => {
-                let key = self.asks.insert(reply);
+            Command::Request { key, request, wait_ms, reply } => {
+                if let Some(reply) = reply {
+                    self.replies.insert(key, reply);
+                }
                 self.handle(now_ms, Input::Request { key, request, wait_ms });
             }
+            Command::Withdraw { key } => {
+                self.replies.remove(&key);
+                self.handle(now_ms, Input::Withdraw { key });
+            }
             Command::Probed { instance, sound } => {
                 self.handle(now_ms, Input::Probed { instance, sound })
             }
@@ -98,7 +111,7 @@
             match effect {
                 Effect::Send { to, message } => self.links.send(to, message),
                 Effect::Answer { key, response } => {
-                    if let Some(Some(reply)) = self.asks.take(key) {
+                    if let Some(reply) = self.replies.remove(&key) {
                         let _ = reply.try_send(response);
                     }
                 }
--- a/programs/data-plane/src/downstream/serve.rs
+++ b/programs/data-plane/src/downstream/serve.rs
@@ -1,12 +1,12 @@
+use crate::calls;
 use crate::dialect::OwnCall;
 use crate::fair::{Counted, is_over_share};
+use crate::forward::{self, Forwarded, Incoming};
 use crate::share::{Place, Shared};
-use crate::{ask, calls};
 use postbarrow_constants::traffic::*;
 use postbarrow_downstream::body;
 use postbarrow_downstream::connection::{Connection, Next, Patience};
 use postbarrow_downstream::head::{Head, Length, Reject};
-use postbarrow_downstream::memory::Reserved;
 use postbarrow_node::{About, TargetResponse, Told, Verdict};
 use postbarrow_routing::{Entry, Found, Refusal};
 use postbarrow_state::Kind;
@@ -28,7 +28,8 @@
         let keyed = shared.dialect.key(&head).is_some();
         let last = |head: &Head| head.close || shared.stopping.load(Relaxed);
         match one(&mut connection, shared, &head) {
-            Ok((response, _memory)) => {
+            Ok(Forwarded::ClientLeft) => return,
+            Ok(Forwarded::Answered(response, _memory)) => {
                 let close = last(&head);
                 if connection.write(&response, &head.method, close).is_err() || close {
                     return;
@@ -56,7 +57,7 @@
 
 /// This go never ran; whether an earlier one under its key did, nobody here can say.
 fn refuse(connection: &mut Connection, shared: &Shared, reject: Reject, unsure: bool) {
-    if reject.status != 0 {
+    if reject != body::CLIENT_LEFT {
         let response = shared.dialect.refused(reject.status, unsure, reject.why);
         let _ = connection.write(&response, "GET", true);
         connection.linger();
@@ -73,16 +74,18 @@
     connection: &mut Connection,
     shared: &Arc<Shared>,
     head: &Head,
-) -> Result<(TargetResponse, Option<Reserved>), Unread> {
+) -> Result<Forwarded, Unread> {
     let arrived_ms = clock_ms();
     match shared.dialect.own_call(head) {
         Some(OwnCall::Ready) => {
             skip_body(connection, shared, head)?;
-            return Ok((calls::ready(shared), None));
+            return Ok(Forwarded::Answered(calls::ready(shared), None));
         }
         Some(OwnCall::Coordination) => {
-            let body = read_body(connection, shared, head, calls::BODY_BYTES)?;
-            return Ok((calls::serve(shared, head, &body.bytes, || connection.is_gone()), None));
+            let until_ms = clock_ms() + BODY_WAIT_MS;
+            let body = read_body(connection, shared, head, calls::BODY_BYTES, until_ms)?;
+            let response = calls::serve(shared, head, &body.bytes, &connection.watch());
+            return Ok(Forwarded::Answered(response, None));
         }
         None => {}
     }
@@ -103,7 +106,7 @@
     };
     let one_time = entry.route().kind == Kind::OneTime;
     let about = About { one_time, keyed, ..About::default() };
-    if one_time && !ask::is_sound_key(shared.dialect.as_ref(), head) {
+    if one_time && !forward::is_sound_key(shared.dialect.as_ref(), head) {
         let why = "the Idempotency-Key must be one of 1 to 200 printable characters, no colon";
         return Err(Unread::Rejected(Reject { status: 400, why }));
     }
@@ -124,7 +127,8 @@
         Err(Refusal::Rate) => return Err(turned(about, Told::OverRate)),
         Err(Refusal::Concurrency) => return Err(turned(about, Told::OverConcurrency)),
     };
-    let body = match read_body(connection, shared, head, entry.route().body_bytes) {
+    let body_until_ms = body_until_ms(shared, head, arrived_ms);
+    let body = match read_body(connection, shared, head, entry.route().body_bytes, body_until_ms) {
         Err(Unread::Rejected(reject)) if reject == body::TOO_LARGE => {
             return Err(turned(about, Told::BodyTooLarge(entry.route().body_bytes)));
         }
@@ -134,7 +138,15 @@
         other => other?,
     };
     let start_ms = if one_time || !body.bytes.is_empty() { clock_ms() } else { arrived_ms };
-    Ok(ask::run(shared, entry, head, body.bytes, start_ms, arrived_ms))
+    let client = &connection.watch();
+    let incoming = Incoming { entry, head, body: body.bytes, start_ms, arrived_ms, client };
+    Ok(forward::forward(shared, incoming))
+}
+
+/// A client that says how long it waits needs no answer later, so its body is not waited for longer.
+fn body_until_ms(shared: &Shared, head: &Head, arrived_ms: u64) -> u64 {
+    let wait_ms = shared.dialect.wait_ms(head).unwrap_or(BODY_WAIT_MS);
+    arrived_ms + wait_ms.min(BODY_WAIT_MS)
 }
 
 fn read_body(
@@ -142,20 +154,21 @@
     shared: &Shared,
     head: &Head,
     most_bytes: u64,
+    until_ms: u64,
 ) -> Result<body::Body, Unread> {
     if matches!(head.length, Length::Sized(size_bytes) if size_bytes > most_bytes) {
         return Err(Unread::Rejected(body::TOO_LARGE));
     }
     if head.waits && connection.go_on().is_err() {
-        return Err(Unread::Rejected(Reject { status: 0, why: "the client is gone" }));
+        return Err(Unread::Rejected(body::CLIENT_LEFT));
     }
-    let deadline_ms = clock_ms() + BODY_WAIT_MS;
-    body::read(connection, head.length, most_bytes, &shared.memory, deadline_ms)
+    body::read(connection, head.length, most_bytes, &shared.memory, until_ms)
         .map_err(Unread::Rejected)
 }
 
 fn skip_body(connection: &mut Connection, shared: &Shared, head: &Head) -> Result<(), Unread> {
-    read_body(connection, shared, head, HEAD_BYTES as u64).map(|_| ())
+    let until_ms = clock_ms() + BODY_WAIT_MS;
+    read_body(connection, shared, head, HEAD_BYTES as u64, until_ms).map(|_| ())
 }
 
 struct Entered(Arc<Entry>);
--- /dev/null
+++ b/programs/data-plane/src/forward.rs
@@ -0,0 +1,255 @@
+//! One request on its way through this node: drives its course on the client's own thread.
+
+use crate::dialect::{Dialect, Heard, on_to_target};
+use crate::downstream::head::Head;
+use crate::share::Shared;
+use crate::target_connection::{Outgoing, TargetConnection, Terms};
+use postbarrow_constants::coordination::{SETTLE_WAIT_MS, TICKET_KEY_BYTES};
+use postbarrow_constants::traffic::PROOF_WAIT_MS;
+use postbarrow_downstream::client_watch::ClientWatch;
+use postbarrow_downstream::memory::Reserved;
+use postbarrow_messages::Request;
+use postbarrow_node::*;
+use postbarrow_routing::{Entry, Load};
+use postbarrow_state::{Digest, Kind, Name, Target};
+use postbarrow_transport::clock_ms;
+use sha2::{Digest as _, Sha256};
+use std::sync::Arc;
+
+/// A request that was read whole and found its route.
+pub struct Incoming<'a> {
+    pub entry: Arc<Entry>,
+    pub head: &'a Head,
+    pub body: Vec<u8>,
+    /// When the route's time begins.
+    pub start_ms: u64,
+    /// When its head was read.
+    pub arrived_ms: u64,
+    pub client: &'a ClientWatch<'a>,
+}
+
+/// How a request ended here.
+pub enum Forwarded {
+    /// Its client gets this, with the memory that the response takes.
+    Answered(TargetResponse, Option<Reserved>),
+    /// Nobody is there to hear.
+    ClientLeft,
+}
+
+/// Takes a request to its end.
+pub fn forward(shared: &Arc<Shared>, incoming: Incoming<'_>) -> Forwarded {
+    let (go, entry) = plan_course(shared, &incoming);
+    let mut work = Work::new(shared, &incoming, &entry);
+    let mut course = Course::new(go, entry);
+    let mut event = Event::Start;
+    loop {
+        let table = shared.table.load_full();
+        let now = Now {
+            now_ms: clock_ms(),
+            table: &table,
+            serves: shared.serves(),
+            number: shared.number(),
+            client_left: incoming.client.is_known_left(),
+        };
+        event = match course.handle(&now, event) {
+            Step::Connect { target, load, wait_ms } => work.connect(target, load, wait_ms),
+            Step::AskTicket { ticket, wait_ms } => {
+                let request = Request::Ticket(ticket);
+                Event::Answered(shared.request(request, wait_ms, incoming.client))
+            }
+            Step::Pass { wait_ms, until_ms } => Event::Passed(work.pass(wait_ms, until_ms)),
+            Step::Settle { ticket, settlement, response, wait_ms } => {
+                let request = Request::Settle { ticket, settlement, response };
+                Event::Answered(shared.request(request, wait_ms, incoming.client))
+            }
+            Step::Done { verdict, settle } => {
+                if let Some((ticket, settlement, response)) = settle {
+                    let request = Request::Settle { ticket, settlement, response };
+                    shared.tell(request, SETTLE_WAIT_MS);
+                }
+                return match verdict.told {
+                    Told::ClientLeft => Forwarded::ClientLeft,
+                    _ => Forwarded::Answered(shared.dialect.told(verdict), work.memory),
+                };
+            }
+        };
+    }
+}
+
+/// What the course of a request is to know of it, and its route with one service drawn.
+fn plan_course(shared: &Shared, incoming: &Incoming<'_>) -> (Go, Arc<Entry>) {
+    let dialect = shared.dialect.as_ref();
+    let seed = shared.own.incarnation ^ shared.number();
+    let entry = incoming.entry.drawn(seed);
+    let until_ms = incoming.start_ms + entry.route().deadline_ms;
+    let client_until_ms =
+        dialect.wait_ms(incoming.head).map(|wait_ms| incoming.arrived_ms + wait_ms);
+    let logged = dialect.named().is_none();
+    let is_ticketed = logged && entry.route().kind == Kind::OneTime;
+    let key = dialect.key(incoming.head);
+    let go = Go {
+        key: match key {
+            Some(key) => Name::from(key),
+            None if is_ticketed => shared.made_key(),
+            None => Name::default(),
+        },
+        keyed: key.is_some(),
+        digest: if is_ticketed { digest(incoming.head, &incoming.body) } else { [0; 32] },
+        logged,
+        node: shared.own.incarnation,
+        zone: shared.own.zone.clone(),
+        until_ms: client_until_ms.map_or(until_ms, |client_ms| until_ms.min(client_ms)),
+        seed,
+    };
+    (go, entry)
+}
+
+/// What a course has in hand on this node.
+struct Work<'a> {
+    shared: &'a Arc<Shared>,
+    incoming: &'a Incoming<'a>,
+    service: Name,
+    repeatable: bool,
+    connection: Option<TargetConnection>,
+    target: Option<Arc<Target>>,
+    entered: Option<Entered>,
+    memory: Option<Reserved>,
+}
+
+impl<'a> Work<'a> {
+    fn new(shared: &'a Arc<Shared>, incoming: &'a Incoming<'a>, entry: &Entry) -> Work<'a> {
+        Work {
+            shared,
+            incoming,
+            service: entry.route().service.clone(),
+            repeatable: entry.route().kind != Kind::OneTime,
+            connection: None,
+            target: None,
+            entered: None,
+            memory: None,
+        }
+    }
+
+    fn connect(&mut self, target: Arc<Target>, load: Arc<Load>, wait_ms: u64) -> Event {
+        self.entered = Some(Entered::new(load.clone()));
+        let opened = match self.shared.pools.load().take(&target) {
+            Some(connection) => Ok(connection),
+            None => self.open(&target, &load, wait_ms),
+        };
+        self.target = Some(target);
+        match opened {
+            Ok(connection) => {
+                self.connection = Some(connection);
+                Event::Connected
+            }
+            Err(why) => {
+                self.entered = None;
+                Event::Unconnected(why)
+            }
+        }
+    }
+
+    /// A new connection; its target proves who it is unless requests name their target.
+    fn open(&self, target: &Target, load: &Load, wait_ms: u64) -> Result<TargetConnection, String> {
+        let client = self.incoming.client;
+        let until_ms = clock_ms() + wait_ms;
+        let mut connection = TargetConnection::open(target.address, until_ms, client)?;
+        if self.shared.dialect.named().is_none() {
+            let until_ms = until_ms.min(clock_ms() + PROOF_WAIT_MS);
+            load.report(connection.prove(target, until_ms, client)?);
+        }
+        Ok(connection)
+    }
+
+    fn pass(&mut self, wait_ms: u64, until_ms: u64) -> Passed {
+        let (Some(connection), Some(target), Some(entered)) =
+            (self.connection.take(), &self.target, self.entered.take())
+        else {
+            return Passed::Unsent("no connection".into());
+        };
+        let Some(mut memory) = self.shared.responses.reserve(0) else {
+            return Passed::Unsent("no space".into());
+        };
+        let (head, dialect) = (self.incoming.head, self.shared.dialect.as_ref());
+        let request = Outgoing {
+            method: &head.method,
+            path: &head.target,
+            headers: &on_to_target(dialect, head, &target.instance, wait_ms),
+            body: &self.incoming.body,
+            until_ms: clock_ms() + wait_ms.max(1),
+            repeatable: self.repeatable,
+        };
+        let unwatched = ClientWatch::nobody();
+        let terms = Terms {
+            may_send: &|| self.may_send(&target.instance, until_ms),
+            client: if self.repeatable { self.incoming.client } else { &unwatched },
+            judge: &|response, first| match dialect.named() {
+                Some(named) => named.heard(head, response, first),
+                None => Heard::Whole,
+            },
+        };
+        let (passed, kept) = connection.pass(&request, &terms, &mut memory);
+        let load = entered.leave();
+        if let (Passed::Whole(response), Some(named)) = (&passed, dialect.named())
+            && let Some(occupancy) = named.occupancy(response)
+        {
+            load.report_at(clock_ms(), occupancy.saturating_sub(load.at_work()));
+        }
+        self.memory = Some(memory);
+        if let Some(connection) = kept {
+            self.shared.pools.load().give(target, connection);
+        }
+        passed
+    }
+
+    /// Looked at right before the first byte: the client still waits, and hold, target and ticket
+    /// still stand.
+    fn may_send(&self, instance: &Name, until_ms: u64) -> bool {
+        !self.incoming.client.has_left()
+            && self.shared.table.load().allows(&self.service, instance)
+            && clock_ms() < until_ms
+            && self.shared.serves()
+    }
+}
+
+/// Counted at its target from the choice on, so that two requests at once don't choose the same place.
+struct Entered(Arc<Load>);
+
+impl Entered {
+    fn new(load: Arc<Load>) -> Entered {
+        load.enter();
+        Entered(load)
+    }
+
+    fn leave(self) -> Arc<Load> {
+        self.0.clone()
+    }
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        self.0.leave();
+    }
+}
+
+/// What makes two requests under one key the same request.
+fn digest(head: &Head, body: &[u8]) -> Digest {
+    let mut hash = Sha256::new();
+    for part in [head.method.as_bytes(), head.target.as_bytes(), body] {
+        hash.update((part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hash.finalize().into()
+}
+
+pub fn is_sound_key(dialect: &dyn Dialect, head: &Head) -> bool {
+    if dialect.key(head).is_none() && dialect.named().is_some() {
+        return true;
+    }
+    let keys = head.headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("idempotency-key"));
+    keys.clone().count() <= 1
+        && keys.clone().all(|(_, key)| {
+            (1..=TICKET_KEY_BYTES).contains(&key.len())
+                && key.bytes().all(|byte| byte.is_ascii_graphic())
+        })
+}
--- a/programs/data-plane/src/lib.rs
+++ b/programs/data-plane/src/lib.rs
@@ -1,19 +1,18 @@
 //! The data plane: takes asks, finds their route, passes each to a proved target.
 
 mod answer;
-mod ask;
 mod calls;
 mod core;
 mod dialect;
 mod downstream;
 mod fair;
+mod forward;
+mod pools;
 mod probe;
 mod proof;
 mod read_call;
 mod share;
-mod straight;
-mod upstream;
-mod wire;
+mod target_connection;
 
 #[cfg(test)]
 mod tests;
--- a/programs/data-plane/src/probe.rs
+++ b/programs/data-plane/src/probe.rs
@@ -1,8 +1,9 @@
 use crate::core::Command;
 use crate::share::Shared;
-use crate::upstream::{Proved, Upstream};
+use crate::target_connection::TargetConnection;
 use postbarrow_constants::nodes::PROBE_MS;
-use postbarrow_constants::traffic::STACK_BYTES;
+use postbarrow_constants::traffic::{PROOF_WAIT_MS, STACK_BYTES};
+use postbarrow_downstream::client_watch::ClientWatch;
 use postbarrow_state::{Name, Target};
 use postbarrow_transport::clock_ms;
 use std::collections::HashSet;
@@ -68,13 +69,16 @@
 /// The oldest idle connection is proved anew and put back, which also keeps one warm.
 fn probe(shared: &Shared, target: &Target) -> Result<u64, String> {
     let pools = shared.pools.load();
-    if let Some(Upstream::Proved(mut proved)) = pools.take(target)
-        && let Ok(occupancy) = proved.prove(target)
+    let nobody = ClientWatch::nobody();
+    let until_ms = clock_ms() + PROOF_WAIT_MS;
+    if let Some(mut connection) = pools.take(target)
+        && let Ok(occupancy) = connection.prove(target, until_ms, &nobody)
     {
-        pools.give(target, Upstream::Proved(proved));
+        pools.give(target, connection);
         return Ok(occupancy);
     }
-    let (proved, occupancy) = Proved::open(target)?;
-    pools.give(target, Upstream::Proved(proved));
+    let mut connection = TargetConnection::open(target.address, until_ms, &nobody)?;
+    let occupancy = connection.prove(target, until_ms, &nobody)?;
+    pools.give(target, connection);
     Ok(occupancy)
 }
--- a/programs/data-plane/src/share.rs
+++ b/programs/data-plane/src/share.rs
@@ -2,21 +2,22 @@
 use crate::dialect::Dialect;
 use crate::downstream::head::{Head, Length};
 use crate::fair::Clients;
-use crate::upstream::Pools;
+use crate::pools::Pools;
 use arc_swap::ArcSwap;
 use crossbeam_queue::ArrayQueue;
+use postbarrow_constants::coordination::CONTROLLER_ANSWER_SLACK_MS;
 use postbarrow_constants::plans::{SAMPLE_BYTES, SAMPLES_TOLD, SAMPLES_WAITING};
+use postbarrow_downstream::client_watch::{ClientWatch, Unreceived};
 use postbarrow_downstream::memory::Memory;
 use postbarrow_messages::{Request, Response};
 use postbarrow_routing::Table;
 use postbarrow_startup::Bounds;
 use postbarrow_state::{Name, Node, Sample};
-use postbarrow_transport::{clock_ms, random};
+use postbarrow_transport::{QuestionKeys, clock_ms, random};
 use sha2::{Digest as _, Sha256};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::*};
 use std::sync::mpsc::{Sender, sync_channel};
-use std::time::Duration;
 
 /// What the threads of asks read: swapped whole or atomic, never locked.
 pub struct Shared {
@@ -42,6 +43,7 @@
     number: AtomicU64,
     /// Known to nobody else: made-up keys can't be guessed.
     secret: [u64; 2],
+    question_keys: QuestionKeys,
     commands: Sender<Command>,
 }
 
@@ -73,6 +75,7 @@
             downstreams: AtomicUsize::new(0),
             number: AtomicU64::new(1),
             secret: [random(), random()],
+            question_keys: QuestionKeys::new(random()),
             commands,
         }
     }
@@ -132,24 +135,29 @@
         Name::from(format!("made-{:x}-{number}-{secret}", self.own.incarnation))
     }
 
-    /// Asks the controller and waits for its response or the end of the time.
-    pub fn ask(&self, ask: Request, wait_ms: u64) -> Response {
+    /// Asks the controller and waits for its response or the end of the time. A question whose
+    /// client leaves is withdrawn: what it did already stays done, and its end is unknown.
+    pub fn request(&self, request: Request, wait_ms: u64, client: &ClientWatch) -> Response {
         let (reply, response) = sync_channel(1);
-        let wait_ms = wait_ms.max(1);
-        if self
-            .commands
-            .send(Command::Request { request: ask, wait_ms, reply: Some(reply) })
-            .is_err()
-        {
+        let (key, wait_ms) = (self.question_keys.next(), wait_ms.max(1));
+        let command = Command::Request { key, request, wait_ms, reply: Some(reply) };
+        if self.commands.send(command).is_err() {
             return Response::TimedOut;
         }
-        let patience = Duration::from_millis(wait_ms + 200);
-        response.recv_timeout(patience).unwrap_or(Response::TimedOut)
+        match client.receive(&response, clock_ms() + wait_ms + CONTROLLER_ANSWER_SLACK_MS) {
+            Ok(response) => response,
+            Err(Unreceived::ClientLeft) => {
+                self.command(Command::Withdraw { key });
+                Response::TimedOut
+            }
+            Err(Unreceived::TimedOut | Unreceived::Disconnected) => Response::TimedOut,
+        }
     }
 
     /// Tells the controller; sent again until it is taken, waited for by nobody.
-    pub fn tell(&self, ask: Request, wait_ms: u64) {
-        let _ = self.commands.send(Command::Request { request: ask, wait_ms, reply: None });
+    pub fn tell(&self, request: Request, wait_ms: u64) {
+        let key = self.question_keys.next();
+        self.command(Command::Request { key, request, wait_ms, reply: None });
     }
 
     pub fn command(&self, command: Command) {
--- a/programs/data-plane/src/tests/answers.rs
+++ b/programs/data-plane/src/tests/answers.rs
@@ -47,7 +47,8 @@
     assert!(redirect.starts_with("HTTP/1.1 302"), "redirects are the client's: {redirect}");
     let zipped = "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 3\r\n\r\nxyz";
     let (zipped, _, _) = post_with(vec![raw(zipped)]);
-    assert!(zipped.contains("content-encoding: gzip") && zipped.ends_with("xyz"), "{zipped}");
+    let header = "content-encoding: gzip";
+    assert!(zipped.to_ascii_lowercase().contains(header) && zipped.ends_with("xyz"), "{zipped}");
 }
 
 #[test]
--- a/programs/data-plane/src/tests/asks.rs
+++ b/programs/data-plane/src/tests/asks.rs
@@ -17,7 +17,7 @@
         b"POST /post/a%2Fb//c;d?x=%20&x&y=%C3%BC HTTP/1.1\r\nHost: shop\r\nX-A: 1\r\nx-a: 2\r\nConnection: X-Hop\r\nX-Hop: 3\r\nTE: trailers\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: v\r\n\r\n",
     );
     assert!(told.starts_with("HTTP/1.1 200"), "{told}");
-    assert_eq!(told.matches("x-t: ").count(), 2, "{told}");
+    assert_eq!(told.to_ascii_lowercase().matches("x-t: ").count(), 2, "{told}");
     let seen = found.seen.lock().unwrap().clone();
     let mut lines: Vec<String> = seen.heads[0].lines().map(str::to_ascii_lowercase).collect();
     lines.retain(|line| !line.is_empty());
@@ -49,7 +49,8 @@
         b"POST /post/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
     );
     assert_eq!(status(&two), "400");
-    let short = rig.raw(b"POST /post/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc");
+    let short =
+        rig.send_and_leave(b"POST /post/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc");
     assert_eq!(short, "", "a short body gets no response, for its client is gone");
     let long = format!("GET /look/1 HTTP/1.1\r\nHost: h\r\nX: {}", "a".repeat(HEAD_BYTES + 1));
     assert_eq!(status(&rig.raw(long.as_bytes())), "431");
@@ -60,8 +61,9 @@
 #[test]
 fn requests_on_one_connection_get_their_own_responses_in_order() {
     let (_found, rig) = one(vec![Script::Whole("first"), Script::Whole("second")]);
-    let told = rig.raw(
+    let told = rig.talk(
         b"GET /look/1 HTTP/1.1\r\nHost: h\r\n\r\nGET /look/2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+        2,
     );
     let (first, second) = (told.find("first"), told.find("second"));
     assert!(first.is_some() && first < second, "{told}");
--- a/programs/data-plane/src/tests/mod.rs
+++ b/programs/data-plane/src/tests/mod.rs
@@ -1,5 +1,6 @@
 mod answers;
 mod asks;
+mod client_left;
 mod crowds;
 mod named;
 mod promises;
--- a/programs/data-plane/src/tests/promises.rs
+++ b/programs/data-plane/src/tests/promises.rs
@@ -1,9 +1,13 @@
 use super::rig::*;
-use crate::upstream::Proved;
+use crate::dialect::Heard;
+use crate::target_connection::{Outgoing, TargetConnection, Terms};
+use postbarrow_downstream::client_watch::ClientWatch;
 use postbarrow_downstream::memory::{Memory, Reserved};
 use postbarrow_messages::{Request, Response};
 use postbarrow_node::Passed;
-use postbarrow_state::{Call, Change, Event, Outcome};
+use postbarrow_state::{Call, Change, Event, Outcome, Target};
+use postbarrow_transport::clock_ms;
+use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 
@@ -60,20 +64,37 @@
     assert_eq!(found.runs(), 0);
 }
 
+/// Passes a posting on over a new connection that its target proved.
+fn pass(to: &Target, body: &[u8], may_send: &dyn Fn() -> bool) -> (Passed, bool) {
+    let nobody = ClientWatch::nobody();
+    let until_ms = clock_ms() + 60_000;
+    let mut connection = TargetConnection::open(to.address, until_ms, &nobody).unwrap();
+    connection.prove(to, until_ms, &nobody).unwrap();
+    let request = Outgoing {
+        method: "POST",
+        path: "/post/1",
+        headers: &[],
+        body,
+        until_ms,
+        repeatable: false,
+    };
+    let terms = Terms { may_send, client: &nobody, judge: &|_, _| Heard::Whole };
+    let (passed, back) = connection.pass(&request, &terms, &mut space());
+    (passed, back.is_some())
+}
+
 #[test]
 fn a_shut_gate_lets_no_byte_out_and_an_open_one_is_asked_once() {
     let found = ScriptedTarget::start("s-1", "s", vec![Script::Whole("fine")]);
     let to = target("s-1", "s", found.address);
-    let (proved, _) = Proved::open(&to).unwrap();
-    proved.gate(Box::new(|| false));
-    let (passed, back) = proved.pass("POST", "/post/1", &[], b"a", 1_000, &mut space());
-    assert!(matches!(passed, Passed::Unsent(_)) && back.is_none(), "{passed:?}");
+    let (passed, is_back) = pass(&to, b"a", &|| false);
+    assert!(matches!(passed, Passed::Unsent(_)) && !is_back, "{passed:?}");
     assert_eq!(found.runs(), 0);
-    let (proved, _) = Proved::open(&to).unwrap();
-    proved.gate(Box::new(|| true));
+    let asked = Cell::new(0);
     let body = vec![7; 300_000];
-    let (passed, back) = proved.pass("POST", "/post/1", &[], &body, 5_000, &mut space());
-    assert!(matches!(passed, Passed::Whole(_)) && back.is_some(), "{passed:?}");
+    let (passed, is_back) = pass(&to, &body, &|| asked.replace(asked.get() + 1) == 0);
+    assert!(matches!(passed, Passed::Whole(_)) && is_back, "{passed:?}");
+    assert_eq!(asked.get(), 1, "the gate of a proof is not the request's");
     assert_eq!(found.seen.lock().unwrap().bodies[0].len(), body.len());
 }
 
--- a/programs/data-plane/src/tests/rig.rs
+++ b/programs/data-plane/src/tests/rig.rs
@@ -1,24 +1,31 @@
 pub use super::scripted::*;
 use crate::core::Command;
 use crate::downstream;
+use crate::pools::Pools;
 use crate::share::Shared;
-use crate::upstream::Pools;
+use postbarrow_downstream::client_watch::ClientWatch;
 use postbarrow_messages::{Request, Response};
 use postbarrow_routing::Table;
 use postbarrow_startup::Bounds;
 use postbarrow_state::*;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::Ordering::Relaxed;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::thread;
 
+/// The most that a request to `/large/` may carry: more than sockets hold on their way.
+pub const LARGE_BYTES: u64 = 64 << 20;
+/// What routes give each request, unless a test says otherwise.
+const DEADLINE_MS: u64 = 4_000;
+
 /// One node whose image and hold the test sets, and whose controller the test plays.
 pub struct Rig {
     pub shared: Arc<Shared>,
     pub http: SocketAddr,
     pub asked: Arc<Mutex<Vec<Request>>>,
+    withdrawn: Arc<AtomicUsize>,
 }
 
 pub fn target(instance: &str, service: &str, address: SocketAddr) -> Target {
@@ -55,18 +62,24 @@
         let shared = Arc::new(Shared::new(own, dialect, &Bounds::default(), commands));
         let asked = Arc::new(Mutex::new(Vec::new()));
         let told = asked.clone();
+        let withdrawn = Arc::new(AtomicUsize::new(0));
+        let count = withdrawn.clone();
         thread::spawn(move || {
             for command in queue {
-                if let Command::Request { request: ask, reply, .. } = command {
-                    let response = answer(&ask);
-                    told.lock().unwrap().push(ask);
-                    if let Some(reply) = reply {
-                        let _ = reply.send(response);
+                match command {
+                    Command::Request { request, reply, .. } => {
+                        let response = answer(&request);
+                        told.lock().unwrap().push(request);
+                        if let Some(reply) = reply {
+                            let _ = reply.send(response);
+                        }
                     }
+                    Command::Withdraw { .. } => drop(count.fetch_add(1, Relaxed)),
+                    _ => {}
                 }
             }
         });
-        let rig = Rig { shared, http, asked };
+        let rig = Rig { shared, http, asked, withdrawn };
         rig.publish(targets);
         rig.shared.lease_until_ms.store(u64::MAX, Relaxed);
         downstream::listen(listener, rig.shared.clone()).unwrap();
@@ -74,6 +87,11 @@
     }
 
     pub fn publish(&self, targets: Vec<Target>) {
+        self.publish_with(targets, DEADLINE_MS);
+    }
+
+    /// The same with routes that give each request so long.
+    pub fn publish_with(&self, targets: Vec<Target>, deadline_ms: u64) {
         let mut state = State::default();
         let plan = PlanHead { version: "v1".into(), base: None, offset: 1 };
         state.plan = Some(Arc::new(plan));
@@ -88,10 +106,10 @@
             kind,
             service: service.into(),
             when: None,
-            body_bytes: 1_000,
+            body_bytes: if path.starts_with("/large") { LARGE_BYTES } else { 1_000 },
             rate_per_s: None,
             concurrency: None,
-            deadline_ms: 4_000,
+            deadline_ms,
             host: None,
             shares: Vec::new(),
             tries: None,
@@ -100,6 +118,7 @@
         };
         state.routes.push_back(Arc::new(route("/look/*", "GET", Kind::Lookup, "s")));
         state.routes.push_back(Arc::new(route("/post/*", "POST", Kind::OneTime, "s")));
+        state.routes.push_back(Arc::new(route("/large/*", "PUT", Kind::Lookup, "s")));
         for target in targets {
             state.targets.insert(target.instance.clone(), Arc::new(target));
         }
@@ -109,8 +128,32 @@
         self.shared.table.store(Arc::new(table));
     }
 
-    /// Sends raw bytes and gives back all that comes until the node closes.
+    /// Sends one request as raw bytes, waits for its response, and gives back all that comes until
+    /// the node closes.
     pub fn raw(&self, bytes: &[u8]) -> String {
+        self.talk(bytes, 1)
+    }
+
+    /// Sends requests as raw bytes and closes its side once so many responses came whole: a client
+    /// that closes earlier has left.
+    pub fn talk(&self, bytes: &[u8], responses: usize) -> String {
+        let mut stream = TcpStream::connect(self.http).unwrap();
+        stream.write_all(bytes).unwrap();
+        let mut told = Vec::new();
+        let mut part = [0; 4096];
+        while whole_responses(&told) < responses {
+            match stream.read(&mut part) {
+                Ok(0) | Err(_) => break,
+                Ok(length) => told.extend_from_slice(&part[..length]),
+            }
+        }
+        let _ = stream.shutdown(Shutdown::Write);
+        let _ = stream.read_to_end(&mut told);
+        String::from_utf8_lossy(&told).into_owned()
+    }
+
+    /// Sends bytes and leaves at once; gives back what came all the same.
+    pub fn send_and_leave(&self, bytes: &[u8]) -> String {
         let mut stream = TcpStream::connect(self.http).unwrap();
         stream.write_all(bytes).unwrap();
         stream.shutdown(Shutdown::Write).unwrap();
@@ -131,9 +174,15 @@
         )
     }
 
+    /// Questions that were taken back so far.
+    pub fn withdrawn(&self) -> usize {
+        self.shared.request(Request::Show, 60_000, &ClientWatch::nobody());
+        self.withdrawn.load(Relaxed)
+    }
+
     /// All settled so far: a question behind them in the queue is answered after them.
     pub fn settled(&self) -> Vec<Settlement> {
-        self.shared.ask(Request::Show, 60_000);
+        self.shared.request(Request::Show, 60_000, &ClientWatch::nobody());
         let asked = self.asked.lock().unwrap();
         let settled = asked.iter().filter_map(|ask| match ask {
             Request::Settle { settlement, .. } => Some(*settlement),
@@ -143,6 +192,20 @@
     }
 }
 
+/// How many responses are whole in what came, each with a length.
+fn whole_responses(mut told: &[u8]) -> usize {
+    let mut count = 0;
+    while let Some(end) = told.windows(4).position(|four| four == b"\r\n\r\n") {
+        let head = String::from_utf8_lossy(&told[..end]).to_ascii_lowercase();
+        let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+        let length = length.and_then(|text| text.parse().ok()).unwrap_or(0);
+        let Some(rest) = told.get(end + 4 + length..) else { return count };
+        told = rest;
+        count += 1;
+    }
+    count
+}
+
 /// A controller that grants and settles all.
 pub fn yes(ask: &Request) -> Response {
     match ask {
--- a/programs/data-plane/src/tests/scripted.rs
+++ b/programs/data-plane/src/tests/scripted.rs
@@ -29,6 +29,39 @@
     Later(Vec<u8>, Cue, Vec<u8>),
     /// Bytes at once, and a reset when the test says so.
     LaterReset(Vec<u8>, Cue),
+    /// Works on the request until its connection ends.
+    Hold(Watched),
+}
+
+/// Where a target tells what it sees of a request that it holds.
+#[derive(Clone)]
+pub struct Watched {
+    began: Sender<()>,
+    ended: Sender<()>,
+}
+
+/// Where a test hears of it.
+pub struct Sightings {
+    pub began: Receiver<()>,
+    pub ended: Receiver<()>,
+}
+
+/// What a target does instead of proving itself.
+pub type Unproved = Option<Watched>;
+
+pub fn sightings() -> (Sightings, Watched) {
+    let ((began, begins), (ended, ends)) = (channel(), channel());
+    (Sightings { began: begins, ended: ends }, Watched { began, ended })
+}
+
+impl Watched {
+    /// Reads on, whatever comes, until the connection ends.
+    fn hold(&self, stream: &mut TcpStream) {
+        let _ = self.began.send(());
+        let mut part = [0; 4096];
+        while matches!(stream.read(&mut part), Ok(length) if length > 0) {}
+        let _ = self.ended.send(());
+    }
 }
 
 /// The target's side of a moment that the test chooses.
@@ -110,6 +143,20 @@
 
 impl ScriptedTarget {
     pub fn start(instance: &'static str, service: &'static str, script: Vec<Script>) -> Self {
+        ScriptedTarget::proving(instance, service, script, None)
+    }
+
+    /// One that holds whoever asks for its proof.
+    pub fn unproved(instance: &'static str, service: &'static str, watched: Watched) -> Self {
+        ScriptedTarget::proving(instance, service, vec![Script::Whole("")], Some(watched))
+    }
+
+    fn proving(
+        instance: &'static str,
+        service: &'static str,
+        script: Vec<Script>,
+        unproved: Unproved,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let seen = Arc::new(Mutex::new(Seen::default()));
@@ -117,9 +164,9 @@
         let told = seen.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (script, told) = (script.clone(), told.clone());
+                let (script, told, unproved) = (script.clone(), told.clone(), unproved.clone());
                 told.lock().unwrap().connections += 1;
-                thread::spawn(move || play(stream, instance, service, &script, &told));
+                thread::spawn(move || play(stream, instance, service, &script, &told, unproved));
             }
         });
         ScriptedTarget { address, seen }
@@ -136,11 +183,15 @@
     service: &str,
     script: &Mutex<Vec<Script>>,
     told: &Mutex<Seen>,
+    unproved: Unproved,
 ) {
     let mut buffer = Vec::new();
     stream.set_nodelay(true).unwrap();
     while let Some((head, body)) = read_request(&mut stream, &mut buffer) {
         if head.contains(PROOF_PATH) {
+            if let Some(watched) = &unproved {
+                return watched.hold(&mut stream);
+            }
             let proof = format!(
                 "{{\"instance\":\"{instance}\",\"service\":\"{service}\",\"labels\":{{}},\"occupancy\":0}}"
             );
@@ -178,6 +229,7 @@
                 let _ = cue.done.send(());
                 return;
             }
+            Script::Hold(watched) => return watched.hold(&mut stream),
             Script::WholeThenClose(body) => {
                 let _ = stream.write_all(whole(body).as_bytes());
                 return;
--- a/programs/data-plane/src/tests/silence.rs
+++ b/programs/data-plane/src/tests/silence.rs
@@ -2,10 +2,13 @@
 
 use super::named::{Words, get, response, two};
 use super::rig::*;
-use crate::straight::{Sent, Straight};
+use crate::Named;
+use crate::target_connection::{Outgoing, TargetConnection, Terms};
+use postbarrow_downstream::client_watch::ClientWatch;
 use postbarrow_downstream::head::parse;
 use postbarrow_downstream::memory::Memory;
 use postbarrow_node::Passed;
+use postbarrow_transport::clock_ms;
 
 /// Long enough for a request to reach its target, short enough for a test.
 const SHORT: &str = "Request: p\r\nWait-Ms: 300\r\n";
@@ -123,19 +126,29 @@
     let one = ScriptedTarget::start("s-1", "s", vec![Script::Reply(response("p", "", "done"))]);
     let text = b"POST /post/1 HTTP/1.1\r\nHost: h\r\nAsk: p\r\nContent-Length: 1\r\n\r\n";
     let (head, _) = parse(text).unwrap().unwrap();
-    let sent = |allowed: bool| Sent {
-        head: &head,
+    let until_ms = clock_ms() + 60_000;
+    let nobody = ClientWatch::nobody();
+    let request = Outgoing {
+        method: &head.method,
+        path: &head.target,
         headers: &[],
         body: b"x",
-        wait_ms: 2_000,
+        until_ms,
         repeatable: false,
-        gate: Box::new(move || allowed),
     };
     let mut memory = Memory::new(1_000).reserve(0).unwrap();
-    let open = || Straight::open(one.address, 2_000).unwrap();
-    let (passed, kept) = open().pass(sent(false), &Words, &mut memory);
+    let mut pass = |allowed: bool| {
+        let terms = Terms {
+            may_send: &|| allowed,
+            client: &nobody,
+            judge: &|response, first| Words.heard(&head, response, first),
+        };
+        let connection = TargetConnection::open(one.address, until_ms, &nobody).unwrap();
+        connection.pass(&request, &terms, &mut memory)
+    };
+    let (passed, kept) = pass(false);
     assert!(matches!(passed, Passed::Unsent(_)) && kept.is_none(), "{passed:?}");
-    let (passed, kept) = open().pass(sent(true), &Words, &mut memory);
+    let (passed, kept) = pass(true);
     assert!(matches!(passed, Passed::Whole(_)) && kept.is_some(), "{passed:?}");
     assert_eq!(one.runs(), 1, "the forbidden one never came");
 }
