--- a/tools/fleet-runner/src/fleet.rs
+++ b/tools/fleet-runner/src/fleet.rs
@@ -210,7 +210,7 @@
     pub fn start_load(&self, cli: &Cli) -> Result<Child, String> {
         let spec = &self.spec;
         let text = format!(
-            "--nodes {0}/nodes --records {0}/records --seconds {1} --lookups {2} --postings {3} --uploads {4} --calls {5} --seed {6} --storm {7} --workers {8} --greedy {9} --greedy-rate {10} --upload-bytes {11}",
+            "--nodes {0}/nodes --records {0}/records --seconds {1} --lookups {2} --postings {3} --uploads {4} --calls {5} --seed {6} --storm {7} --workers {8} --greedy {9} --greedy-rate {10} --upload-bytes {11} --leavers {12}",
             self.folder,
             cli.seconds,
             spec.lookups,
@@ -222,7 +222,8 @@
             (spec.lookups / 2 + 96).min(600),
             cli.greedy,
             spec.lookups * 10,
-            cli.upload_bytes
+            cli.upload_bytes,
+            cli.leavers
         );
         let first = self.list.rows.values().find(|row| row.service == "catalogue");
         let direct = first.map(|row| format!(" --direct {}", row.address)).unwrap_or_default();
--- a/tools/fleet-runner/src/main.rs
+++ b/tools/fleet-runner/src/main.rs
@@ -47,6 +47,12 @@
         no_short
     )]
     greedy: u64,
+    #[options(
+        help = "lookups a second whose clients leave before their answer",
+        default = "0",
+        no_short
+    )]
+    leavers: u64,
     #[options(help = "bytes of one upload", default = "262144", no_short)]
     upload_bytes: usize,
     #[options(help = "target faults in a thousand runs", default = "0", no_short)]
--- a/tools/load-generator/src/book.rs
+++ b/tools/load-generator/src/book.rs
@@ -45,7 +45,9 @@
     let mut violations = Vec::new();
     let known: HashMap<&str, &Ask> = asks.iter().map(|ask| (ask.id.as_str(), ask)).collect();
     let mut by_id: HashMap<&str, Vec<&Run>> = HashMap::new();
-    let known_runs = runs.iter().filter(|run| !run.id.starts_with(GREEDY));
+    let counted_elsewhere =
+        |run: &Run| run.id.starts_with(GREEDY) || run.id.starts_with(crate::leavers::PREFIX);
+    let known_runs = runs.iter().filter(|run| !counted_elsewhere(run));
     for run in known_runs {
         by_id.entry(run.id.as_str()).or_default().push(run);
         let Some(ask) = known.get(run.id.as_str()) else {
--- a/tools/load-generator/src/main.rs
+++ b/tools/load-generator/src/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod client;
 mod greedy;
+mod leavers;
 mod nodes;
 mod report;
 mod schedule;
@@ -46,6 +47,12 @@
     greedy: u64,
     #[options(help = "their lookups a second, all together", default = "800", no_short)]
     greedy_rate: f64,
+    #[options(
+        help = "lookups a second whose clients leave before their answer",
+        default = "0",
+        no_short
+    )]
+    leavers: f64,
     #[options(help = "worker threads", default = "96", no_short)]
     workers: usize,
     #[options(help = "seed", default = "1", no_short)]
@@ -64,6 +71,9 @@
     direct: Option<String>,
 }
 
+/// What goes on after the load's end, as work for clients that left, shows within this.
+const AFTER_LOAD: std::time::Duration = std::time::Duration::from_secs(3);
+
 fn main() -> ExitCode {
     let cli = Arc::new(Cli::parse_args_default_or_exit());
     let nodes = match nodes::Nodes::read(&cli.nodes) {
@@ -82,8 +92,12 @@
     let watches = watch::start(&nodes, &ended);
     let storm = Arc::new(greedy::Greedy::default());
     let crowd = greedy::start(cli.greedy, cli.greedy_rate, &nodes, &ended, &storm);
+    let leaving = Arc::new(AtomicBool::new(false));
+    let leavers = leavers::start(cli.leavers, &nodes, &leaving);
     let asked = schedule::run(&cli, &nodes);
-    thread::sleep(std::time::Duration::from_secs(1));
+    leaving.store(true, Relaxed);
+    let left = leavers.join().unwrap_or_default();
+    thread::sleep(AFTER_LOAD);
     ended.store(true, Relaxed);
     crowd.into_iter().for_each(|one| drop(one.join()));
     let watched = watches.join().unwrap_or_default();
@@ -101,6 +115,15 @@
     let mut violations = book::check(&told, &runs, &budget);
     violations.extend(calls::check(&asked.calls));
     violations.extend(watch::check(&watched, &asked.calls));
+    if !left.is_empty() {
+        let works = leavers::read_works(&cli.records).unwrap_or_default();
+        let summary = leavers::summarize(&left, &works);
+        println!(
+            "Leavers: {} clients left, {} while a target worked; {} worked on, {} begun late",
+            summary.left, summary.at_work, summary.worked_on, summary.began_late
+        );
+        violations.extend(leavers::check(&summary));
+    }
     if greedy > 0 {
         let count = |of: &std::sync::atomic::AtomicU64| of.load(Relaxed);
         println!(
--- a/tools/stand-ins/src/target.rs
+++ b/tools/stand-ins/src/target.rs
@@ -104,6 +104,71 @@
     ended
 }
 
+/// How often a long work looks whether its connection ended.
+const LOOK_EVERY: Duration = Duration::from_millis(5);
+
+/// How a long work ended.
+enum LongWork {
+    Whole,
+    /// Its connection ended first.
+    Dropped,
+    /// This target broke, as it was told to.
+    Broke,
+}
+
+/// Works for as long as the request asks for, unless its connection ends, or it is to break before.
+fn work_long(stream: &TcpStream, ask: &Ask, work_ms: u64) -> LongWork {
+    let given = |name: &str| ask.header(name).and_then(|text| text.parse::<u64>().ok());
+    let breaks_ms = given("x-break-ms").unwrap_or(u64::MAX);
+    let began = std::time::Instant::now();
+    loop {
+        let worked_ms = began.elapsed().as_millis() as u64;
+        if has_ended(stream) {
+            return LongWork::Dropped;
+        }
+        if worked_ms >= breaks_ms {
+            return LongWork::Broke;
+        }
+        if worked_ms >= work_ms {
+            return LongWork::Whole;
+        }
+        std::thread::sleep(LOOK_EVERY);
+    }
+}
+
+fn has_ended(stream: &TcpStream) -> bool {
+    if stream.set_nonblocking(true).is_err() {
+        return true;
+    }
+    let seen = stream.peek(&mut [0]);
+    let _ = stream.set_nonblocking(false);
+    match seen {
+        Ok(length) => length == 0,
+        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+    }
+}
+
+/// Whether the request's long work came to its end; how it ended is recorded.
+fn long_work_is_whole(
+    target: &Target,
+    stream: &TcpStream,
+    ask: &Ask,
+    id: &str,
+) -> io::Result<bool> {
+    let Some(work_ms) = ask.header("x-work-ms").and_then(|text| text.parse().ok()) else {
+        std::thread::sleep(Duration::from_millis(target.place.work_ms));
+        return Ok(true);
+    };
+    let ended = work_long(stream, ask, work_ms);
+    let how = match ended {
+        LongWork::Whole => "whole",
+        LongWork::Dropped => "dropped",
+        LongWork::Broke => "broke",
+    };
+    (&target.records).write_all(format!("ended {id} {how} {}\n", wall_ms()).as_bytes())?;
+    Ok(matches!(ended, LongWork::Whole))
+}
+
 fn work(target: &Target, stream: &mut TcpStream, ask: &Ask) -> io::Result<()> {
     let id = ask.header("x-id").unwrap_or("-").to_string();
     let digest = hex(&Sha256::digest(&ask.body));
@@ -118,7 +183,9 @@
         let line = format!("{id} {instance} {} {digest} {} {at_ms}\n", ask.method, ask.target);
         (&target.records).write_all(line.as_bytes())?;
     }
-    std::thread::sleep(Duration::from_millis(target.place.work_ms));
+    if !long_work_is_whole(target, stream, ask, &id)? {
+        return Err(io::ErrorKind::ConnectionAborted.into());
+    }
     let pad = "p".repeat(id.bytes().map(usize::from).sum::<usize>() % 4_096);
     let ran = Ran { id, instance: target.place.instance.clone(), digest, pad };
     let body = facet_json::to_vec(&ran).unwrap_or_default();
