--- a/crates/constants/src/traffic.rs
+++ b/crates/constants/src/traffic.rs
@@ -10,6 +10,9 @@
 pub const LINK_WRITE_MS: u64 = 1_000;
 /// A refused link is tried again after this pause.
 pub const LINK_AGAIN_MS: u64 = 100;
+/// A link over which nothing goes for so long ends: what goes on does so every second at most, and a
+/// peer that left for good would keep a thread.
+pub const LINK_IDLE_MS: u64 = 60_000;
 /// Incoming links of one process.
 pub const LINKS: usize = 512;
 /// Client connections of one node, each on a small thread.
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -1,3 +1,5 @@
+//! Outgoing links.
+
 use crate::give_up_unheard;
 use log::{debug, warn};
 use postbarrow_constants::traffic::*;
@@ -11,9 +13,11 @@
 use std::thread;
 use std::time::Duration;
 
-/// Outgoing links, one thread each. Frames may be lost, never reordered within a link's life.
+/// Outgoing links, one thread each. Frames may be lost, never reordered within a link's life. A link
+/// over which nothing goes for `LINK_IDLE_MS` ends, so that none is kept for a peer that left.
 pub struct Links {
     own: SocketAddr,
+    idle: Duration,
     links: HashMap<SocketAddr, Link>,
 }
 
@@ -24,19 +28,28 @@
 }
 
 impl Links {
+    /// Links of the process at this address.
     pub fn new(own: SocketAddr) -> Self {
-        Links { own, links: HashMap::new() }
+        Links::with_idle(own, Duration::from_millis(LINK_IDLE_MS))
+    }
+
+    fn with_idle(own: SocketAddr, idle: Duration) -> Self {
+        Links { own, idle, links: HashMap::new() }
     }
 
+    /// Sends a message, or drops it where its link is full or breaks.
     pub fn send(&mut self, to: SocketAddr, message: Message) {
-        let own = self.own;
-        let link = self.links.entry(to).or_insert_with(|| start(own, to));
+        let (own, idle) = (self.own, self.idle);
+        if !self.links.contains_key(&to) {
+            self.links.retain(|_, link| !link.has_ended());
+        }
+        let link = self.links.entry(to).or_insert_with(|| start(own, to, idle));
         if link.waiting.load(Relaxed) >= LINK_FRAMES {
             return debug!("link: {to} is full");
         }
         link.waiting.fetch_add(1, Relaxed);
         if let Err(SendError(message)) = link.queue.send(message) {
-            let link = start(own, to);
+            let link = start(own, to, idle);
             link.waiting.fetch_add(1, Relaxed);
             let _ = link.queue.send(message);
             self.links.insert(to, link);
@@ -44,24 +57,37 @@
     }
 }
 
-fn start(own: SocketAddr, to: SocketAddr) -> Link {
+impl Link {
+    /// Its thread holds the other end of the count while it runs.
+    fn has_ended(&self) -> bool {
+        Arc::strong_count(&self.waiting) == 1
+    }
+}
+
+fn start(own: SocketAddr, to: SocketAddr, idle: Duration) -> Link {
     let (queue, receiver) = channel();
     let waiting = Arc::new(AtomicUsize::new(0));
     let count = waiting.clone();
     let spawned = thread::Builder::new()
         .name(format!("link {to}"))
         .stack_size(STACK_BYTES)
-        .spawn(move || run(own, to, &receiver, &count));
+        .spawn(move || run(own, to, &receiver, &count, idle));
     if let Err(error) = spawned {
         warn!("link: no thread for {to}: {error}");
     }
     Link { queue, waiting }
 }
 
-fn run(own: SocketAddr, to: SocketAddr, queue: &Receiver<Message>, waiting: &AtomicUsize) {
+fn run(
+    own: SocketAddr,
+    to: SocketAddr,
+    queue: &Receiver<Message>,
+    waiting: &AtomicUsize,
+    idle: Duration,
+) {
     let mut stream: Option<TcpStream> = None;
     let mut down = false;
-    while let Ok(message) = queue.recv() {
+    while let Ok(message) = queue.recv_timeout(idle) {
         waiting.fetch_sub(1, Relaxed);
         let frame = match to_frame(&Envelope { from: own, message }) {
             Ok(frame) => frame,
@@ -103,3 +129,6 @@
     give_up_unheard(&stream, LINK_UNHEARD_MS)?;
     Ok(stream)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/transport/src/listen.rs
+++ b/crates/transport/src/listen.rs
@@ -1,3 +1,6 @@
+//! Incoming links.
+
+use crate::probe_the_silent;
 use log::{debug, warn};
 use postbarrow_constants::traffic::{LINKS, STACK_BYTES};
 use postbarrow_messages::{Envelope, FrameError, read_frame};
@@ -38,9 +41,17 @@
     Ok(address)
 }
 
+/// A peer whose machine vanished sends no end: without probes its place would be taken for good.
+fn prepare(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    probe_the_silent(stream)
+}
+
 fn read(stream: TcpStream, hand: &(impl Fn(Envelope) -> bool + ?Sized)) {
     let from = stream.peer_addr();
-    let _ = stream.set_nodelay(true);
+    if let Err(error) = prepare(&stream) {
+        return debug!("link: from {from:?}: {error}");
+    }
     let mut reader = BufReader::with_capacity(64 * 1024, stream);
     loop {
         match read_frame(&mut reader) {
@@ -55,3 +66,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/programs/control-plane/src/door.rs
+++ b/programs/control-plane/src/door.rs
@@ -153,3 +153,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
