Split the simulator's files that had grown large

Change: moves only. Changes of a file that a power loss keeps or loses, texts of plans, clients that leave, the model's actions, rules and plan stand in modules of their own.

--- a/crates/simulation/src/disk.rs
+++ b/crates/simulation/src/disk.rs
@@ -1,27 +1,14 @@
 //! A disk in memory: its unsynced writes and names, its losses of power, its troubles.
 
+mod unsynced;
+
 use crate::random::Random;
 use postbarrow_storage::Disk;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
 use std::rc::Rc;
-
-#[derive(Clone)]
-enum Op {
-    Write { offset: u64, bytes: Vec<u8> },
-    Truncate { length: u64 },
-}
-
-#[derive(Clone, Default)]
-struct SimFile {
-    durable: Vec<u8>,
-    seen: Vec<u8>,
-    unsynced: Vec<Op>,
-    /// Whether its name lasts.
-    named: bool,
-    reserved: u64,
-}
+use unsynced::{Op, SimFile, carry_out};
 
 #[derive(Clone, Default)]
 struct Files {
@@ -52,41 +39,6 @@
 #[derive(Clone, Default)]
 pub struct SimDisk(Rc<RefCell<Files>>);
 
-fn carry_out(into: &mut Vec<u8>, op: &Op) {
-    match op {
-        Op::Write { offset, bytes } => {
-            let end = *offset as usize + bytes.len();
-            if into.len() < end {
-                into.resize(end, 0);
-            }
-            into[*offset as usize..end].copy_from_slice(bytes);
-        }
-        Op::Truncate { length } => into.resize(*length as usize, 0),
-    }
-}
-
-impl Op {
-    /// What lasts or goes by itself: two parts of a write, as with two blocks of a disk.
-    fn parts(&self, split: &mut impl FnMut(usize) -> usize) -> Vec<Op> {
-        match self {
-            Op::Write { offset, bytes } => {
-                let (first, second) = bytes.split_at(split(bytes.len()));
-                let later = offset + first.len() as u64;
-                let part = |offset, bytes: &[u8]| Op::Write { offset, bytes: bytes.to_vec() };
-                vec![part(*offset, first), part(later, second)]
-            }
-            Op::Truncate { .. } => vec![self.clone()],
-        }
-    }
-
-    fn count(&self) -> usize {
-        match self {
-            Op::Write { .. } => 2,
-            Op::Truncate { .. } => 1,
-        }
-    }
-}
-
 impl SimDisk {
     /// The power goes: each unsynced name, and each of two parts of each unsynced write, is kept or
     /// lost by itself.
--- a/crates/simulation/src/operator.rs
+++ b/crates/simulation/src/operator.rs
@@ -1,5 +1,9 @@
 //! Operators that submit plans, race each other, lose answers and send orders again.
 
+mod plans;
+
+pub use plans::{began_at, plan_text};
+
 use crate::event::Event;
 use crate::orders::Order;
 use crate::world::World;
@@ -79,17 +83,6 @@
     }
 }
 
-pub fn plan_text(version: &str, base: Option<&str>, routes: u64, empty: bool) -> String {
-    let base = base.map_or("null".into(), |base| format!("\"{base}\""));
-    let more: String = (0..routes)
-        .map(|at| format!(",{{\"path\":\"/more/{at}\",\"methods\":[\"GET\"],\"kind\":\"lookup\",\"service\":\"catalogue\"}}"))
-        .collect();
-    let ledger = if empty { "nobody" } else { "ledger" };
-    format!(
-        "{{\"version\":\"{version}\",\"base\":{base},\"services\":{{\"catalogue\":{{\"labels\":{{\"service\":\"catalogue\"}}}},\"ledger\":{{\"labels\":{{\"service\":\"{ledger}\"}}}},\"photos\":{{\"labels\":{{\"service\":\"photos\"}}}}}},\"routes\":[{{\"path\":\"/stock/*\",\"methods\":[\"GET\"],\"kind\":\"lookup\",\"service\":\"catalogue\"}},{{\"path\":\"/transfers\",\"methods\":[\"POST\"],\"kind\":\"one-time\",\"service\":\"ledger\"}},{{\"path\":\"/photos/*\",\"methods\":[\"PUT\"],\"kind\":\"one-time\",\"service\":\"photos\"}}{more}]}}"
-    )
-}
-
 impl Operator {
     /// Every plan of its own has its end.
     pub fn is_idle(&self) -> bool {
@@ -97,12 +90,6 @@
     }
 }
 
-/// Where the plan began in the log, as an acknowledgement tells it.
-pub fn began_at(text: &str) -> Option<u64> {
-    let rest = text.split("\"beganAt\":").nth(1)?;
-    rest.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
-}
-
 impl World {
     /// Twenty times a second: looks after open questions; now and then hands over a plan.
     pub fn operate(&mut self) {
--- /dev/null
+++ b/crates/simulation/src/operator/plans.rs
@@ -0,0 +1,19 @@
+//! Texts of plans, and of their acknowledgements.
+
+/// A plan for the three services, with as many further routes; `empty`: one service finds no target.
+pub fn plan_text(version: &str, base: Option<&str>, routes: u64, empty: bool) -> String {
+    let base = base.map_or("null".into(), |base| format!("\"{base}\""));
+    let more: String = (0..routes)
+        .map(|at| format!(",{{\"path\":\"/more/{at}\",\"methods\":[\"GET\"],\"kind\":\"lookup\",\"service\":\"catalogue\"}}"))
+        .collect();
+    let ledger = if empty { "nobody" } else { "ledger" };
+    format!(
+        "{{\"version\":\"{version}\",\"base\":{base},\"services\":{{\"catalogue\":{{\"labels\":{{\"service\":\"catalogue\"}}}},\"ledger\":{{\"labels\":{{\"service\":\"{ledger}\"}}}},\"photos\":{{\"labels\":{{\"service\":\"photos\"}}}}}},\"routes\":[{{\"path\":\"/stock/*\",\"methods\":[\"GET\"],\"kind\":\"lookup\",\"service\":\"catalogue\"}},{{\"path\":\"/transfers\",\"methods\":[\"POST\"],\"kind\":\"one-time\",\"service\":\"ledger\"}},{{\"path\":\"/photos/*\",\"methods\":[\"PUT\"],\"kind\":\"one-time\",\"service\":\"photos\"}}{more}]}}"
+    )
+}
+
+/// Where the plan began in the log, as an acknowledgement tells it.
+pub fn began_at(text: &str) -> Option<u64> {
+    let rest = text.split("\"beganAt\":").nth(1)?;
+    rest.split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
+}
--- a/crates/simulation/src/requests.rs
+++ b/crates/simulation/src/requests.rs
@@ -1,12 +1,13 @@
 //! Clients' requests on their way through data nodes.
 
+mod leaving;
+
 use crate::data::Waits;
 use crate::event::{Event, Who};
 use crate::ledger::Told;
 use crate::world::World;
 use postbarrow_constants::coordination::SETTLE_WAIT_MS;
-use postbarrow_constants::traffic::CLIENT_LOOK_MS;
-use postbarrow_messages::{Request, Response};
+use postbarrow_messages::Request;
 use postbarrow_node::*;
 use postbarrow_routing::{Found, Load};
 use postbarrow_state::{Name, Target};
@@ -55,14 +56,6 @@
     }
 }
 
-/// Of a thousand requests, so many lose their client before their answer.
-const LEAVES_PER_MILLE: u64 = 40;
-/// Most of these leave within the time of an ordinary request, a few wait longer.
-const LEAVES_SOON_US: u64 = 8_000;
-const LEAVES_LATE_US: u64 = 2_000_000;
-const LATE_PER_MILLE: u64 = 200;
-/// A client that left comes back with its key after this at most.
-const COMES_BACK_US: u64 = 1_000_000;
 const BEHIND_US: u64 = 300_000;
 /// After its deadline a request may still wait for the settlement of its ticket.
 const SETTLED_US: u64 = 2_000_000;
@@ -125,61 +118,7 @@
         };
         self.requests.insert(request, run);
         self.after(500, Event::Arrive { request, data, life });
-        if self.random.chance(LEAVES_PER_MILLE) {
-            let is_late = self.random.chance(LATE_PER_MILLE);
-            let most_us = if is_late { LEAVES_LATE_US } else { LEAVES_SOON_US };
-            let leaves_us = self.random.below(most_us);
-            self.after(leaves_us, Event::ClientLeaves { request });
-        }
-    }
-
-    /// A client closes its connection before its answer; one with a key may come back with it.
-    pub fn client_leaves(&mut self, request: u64) {
-        let Some(run) = self.requests.get_mut(&request) else { return };
-        if run.course.is_none() || self.data[run.data].life != run.life {
-            return;
-        }
-        run.client_left = true;
-        let (id, keyed, goes, service) = (run.id, run.keyed, run.goes, run.service);
-        let (data, life) = (run.data, run.life);
-        self.ledger.left(id);
-        let seen_us = self.random.below(CLIENT_LOOK_MS * 1_000);
-        self.after(seen_us, Event::SeesClientLeave { request, data, life });
-        if keyed && service != "catalogue" && goes < 3 && self.random.chance(500) {
-            let back_us = self.random.below(COMES_BACK_US);
-            self.after(back_us, Event::ClientComesBack { request });
-        }
-    }
-
-    pub fn client_comes_back(&mut self, request: u64) {
-        let Some(run) = self.requests.get(&request) else { return };
-        let (id, keyed, goes, service) = (run.id, run.keyed, run.goes, run.service);
-        self.client_sends(id, service, keyed, goes + 1);
-    }
-
-    /// The node's wait ends, unless it is for a target that may be running a one-time request.
-    pub fn sees_client_leave(&mut self, request: u64, data: usize, life: u64) {
-        let Some(run) = self.requests.get_mut(&request) else { return };
-        if run.course.is_none() || self.data[data].life != life {
-            return;
-        }
-        run.saw_client_leave = true;
-        let is_lookup = run.service == "catalogue";
-        let left = || "the client left".to_string();
-        let event = match run.awaits {
-            Awaits::Connection => postbarrow_node::Event::Unconnected(left()),
-            Awaits::Controller { key } => {
-                self.data[data].waits.remove(&key);
-                self.data_input(data, Input::Withdraw { key });
-                postbarrow_node::Event::Answered(Response::TimedOut)
-            }
-            Awaits::Target if is_lookup => {
-                let passed = Passed::Unknown { late: false, why: left() };
-                postbarrow_node::Event::Passed(passed)
-            }
-            Awaits::Sending | Awaits::Target => return,
-        };
-        self.go_on(request, data, event);
+        self.may_lose_its_client(request);
     }
 
     /// Requests that a node took, in its present life, and did not answer in time.
@@ -286,16 +225,6 @@
         self.send_question(data, key, question, wait_ms, Waits::Request(request));
     }
 
-    /// The last look before the first byte: the client is still there, for all that can be seen.
-    pub fn may_send_for_client(&mut self, request: u64) -> bool {
-        let Some(run) = self.requests.get_mut(&request) else { return false };
-        run.saw_client_leave |= run.client_left;
-        if !run.client_left {
-            run.awaits = Awaits::Target;
-        }
-        !run.client_left
-    }
-
     fn end_request(&mut self, request: u64, verdict: Verdict) {
         let Some(run) = self.requests.get_mut(&request) else { return };
         run.course = None;
--- a/crates/simulation/src/search/mod.rs
+++ b/crates/simulation/src/search/mod.rs
@@ -5,13 +5,17 @@
 mod forwarded_rules;
 mod forwarded_state;
 mod request;
+mod request_actions;
 mod request_course;
+mod request_plan;
+mod request_rules;
 mod request_state;
 mod request_wire;
 
 pub use forwarded::{ForwardedAction, ForwardedCalls, Question};
 pub use forwarded_state::{ForwardedState, NUMBER};
-pub use request::{Faults, RequestAction, Requests};
+pub use request::{Faults, Requests};
+pub use request_actions::RequestAction;
 pub use request_state::RequestState;
 pub use request_wire::Kind;
 
--- a/crates/simulation/src/search/request.rs
+++ b/crates/simulation/src/search/request.rs
@@ -1,8 +1,9 @@
 //! Model of two requests through one node: the real `Course` over modelled connections.
 
 use super::Model;
+use super::request_actions::RequestAction;
 use super::request_course::{
-    DEADLINE_MS, Fed, Moment, PassedAs, Phase, START_MS, Settled, TicketEnd, Views, as_fed,
+    DEADLINE_MS, Fed, Moment, PassedAs, Phase, START_MS, TicketEnd, Views, as_fed,
 };
 use super::request_state::RequestState;
 use super::request_wire::{Connection, Content, Kind, Use};
@@ -25,7 +26,7 @@
 
 /// Two requests through one node to two targets.
 pub struct Requests {
-    kinds: [Kind; 2],
+    pub(super) kinds: [Kind; 2],
     logged: bool,
     strict: bool,
     looks: bool,
@@ -52,52 +53,6 @@
     }
 }
 
-/// One event.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RequestAction {
-    Comes(usize),
-    Connects(usize),
-    ConnectFails(usize),
-    TicketGranted(usize),
-    TicketSettled(usize),
-    TicketUnheard(usize),
-    /// The request's bytes go out, if its last look allows it.
-    Writes(usize),
-    /// The first byte is refused, for the target's reset is known already.
-    WriteRefused(usize),
-    /// A response is read; with the bytes that follow it, or without.
-    Reads {
-        client: usize,
-        rest: bool,
-    },
-    /// The deadline comes while the node reads.
-    Expires(usize),
-    /// The target at the other end runs the request and answers.
-    Runs(usize),
-    RunsInSilence(usize),
-    RunsAndCutsItsAnswer(usize),
-    TurnsAway {
-        connection: usize,
-        named: bool,
-    },
-    Strays {
-        connection: usize,
-        content: Content,
-        named: bool,
-    },
-    Closes(usize),
-    Replaces(usize),
-    /// The client closes its connection.
-    Leaves(usize),
-    /// The node sees that it did, while it waits for something else.
-    SeesGone(usize),
-    /// The node, which waits for a socket, gives up what it waits for: its client left.
-    Abandons(usize),
-    /// Deadlines pass, as for a node that was frozen.
-    TimePasses,
-    LeaseEnds,
-}
-
 impl Requests {
     fn feed(&self, state: &mut RequestState, client: usize, fed: Fed) {
         let now_ms = if state.late { START_MS + DEADLINE_MS } else { START_MS };
@@ -109,71 +64,6 @@
         state.tickets = views.tickets(state.view);
     }
 
-    fn client_actions(&self, state: &RequestState, client: usize) -> Vec<RequestAction> {
-        use RequestAction::*;
-        let at = state.connection_of(client).map(|at| &state.connections[at]);
-        match &state.phases[client] {
-            Phase::Away => vec![Comes(client)],
-            Phase::Connect(target) => match state.resting(*target) {
-                Some(_) => vec![Connects(client)],
-                None => vec![Connects(client), ConnectFails(client)],
-            },
-            Phase::AskTicket => vec![TicketGranted(client), TicketUnheard(client)],
-            Phase::Settle => vec![TicketSettled(client), TicketUnheard(client)],
-            Phase::Pass if state.is_reading(client) => {
-                let mut actions = Vec::new();
-                if at.is_some_and(|at| !at.inbox.is_empty() || at.closed) {
-                    actions.push(Reads { client, rest: false });
-                }
-                if at.is_some_and(|at| at.inbox.len() > 1) {
-                    actions.push(Reads { client, rest: true });
-                }
-                if state.late {
-                    actions.push(Expires(client));
-                }
-                actions
-            }
-            Phase::Pass if at.is_some_and(|at| at.closed) => {
-                vec![Writes(client), WriteRefused(client)]
-            }
-            Phase::Pass => vec![Writes(client)],
-            Phase::Answered(_) | Phase::PromisedNotRun | Phase::ToldUnknown | Phase::ClientLeft => {
-                Vec::new()
-            }
-        }
-    }
-
-    /// What a client that may leave, and a node that may see it, do. A one-time request at its
-    /// target is not watched.
-    fn leaving_actions(&self, state: &RequestState, client: usize) -> Vec<RequestAction> {
-        use RequestAction::*;
-        let is_at_work = matches!(
-            state.phases[client],
-            Phase::Connect(_) | Phase::AskTicket | Phase::Settle | Phase::Pass
-        );
-        if !state.left.leaves || !is_at_work {
-            return Vec::new();
-        }
-        if !state.gone[client] {
-            return vec![Leaves(client)];
-        }
-        let is_reading = state.is_reading(client);
-        let is_watched = !is_reading || self.kinds[client] == Kind::Lookup;
-        let mut actions = Vec::new();
-        if is_watched && !state.seen_gone[client] {
-            actions.push(SeesGone(client));
-        }
-        let waits = match state.phases[client] {
-            Phase::Pass => is_reading,
-            Phase::Connect(target) => state.resting(target).is_none(),
-            _ => true,
-        };
-        if is_watched && waits {
-            actions.push(Abandons(client));
-        }
-        actions
-    }
-
     /// As a wait that ends with `Waited::ClientLeft` or `Unreceived::ClientLeft`.
     fn abandons(&self, state: &mut RequestState, client: usize) {
         state.seen_gone[client] = true;
@@ -184,33 +74,6 @@
         }
     }
 
-    fn target_actions(&self, state: &RequestState, at: usize) -> Vec<RequestAction> {
-        use RequestAction::*;
-        let connection = &state.connections[at];
-        let mut actions = Vec::new();
-        if let Some((_, life)) = connection.pending {
-            if life == connection.life {
-                actions.extend([Runs(at), RunsInSilence(at), RunsAndCutsItsAnswer(at)]);
-            }
-            actions.push(TurnsAway { connection: at, named: true });
-            actions.push(TurnsAway { connection: at, named: false });
-        }
-        if connection.closed {
-            return actions;
-        }
-        if state.left.strays > 0 && connection.answered.is_some() {
-            for content in [Content::Whole, Content::NotRun] {
-                actions.push(Strays { connection: at, content, named: true });
-                actions.push(Strays { connection: at, content, named: false });
-            }
-            actions.push(Strays { connection: at, content: Content::Garbage, named: false });
-        }
-        if state.left.closes > 0 {
-            actions.push(Closes(at));
-        }
-        actions
-    }
-
     fn connects(&self, state: &mut RequestState, client: usize) {
         let Phase::Connect(target) = state.phases[client] else { return };
         state.drops_unfit(target);
@@ -263,26 +126,6 @@
     }
 }
 
-impl Requests {
-    /// A ticket is settled with the truth, and none is left open by a request that ended.
-    fn check_ticket(&self, state: &RequestState, client: usize, runs: bool) -> Result<(), String> {
-        let is_over = !matches!(
-            state.phases[client],
-            Phase::Away | Phase::Connect(_) | Phase::AskTicket | Phase::Settle | Phase::Pass
-        );
-        match state.tickets[client] {
-            TicketEnd::Open if is_over => Err(format!("the ticket of request {client} stays open")),
-            TicketEnd::Settled(Settled::Unsent) if runs && is_over => {
-                Err(format!("request {client} was settled as unsent and ran, or will"))
-            }
-            TicketEnd::Settled(Settled::Ran) if !runs => {
-                Err(format!("request {client} was settled as run and never ran"))
-            }
-            _ => Ok(()),
-        }
-    }
-}
-
 impl Model for Requests {
     type State = RequestState;
     type Action = RequestAction;
@@ -372,27 +215,6 @@
     }
 
     fn check(&self, state: &RequestState) -> Result<(), String> {
-        let standing = state;
-        for (client, phase) in standing.phases.iter().enumerate() {
-            let ran = standing.ran[client];
-            if self.kinds[client] == Kind::OneTime && ran > 1 {
-                return Err(format!("request {client} ran {ran} times"));
-            }
-            if matches!(phase, Phase::Answered(made_for) if *made_for != client) {
-                return Err(format!("client {client} got another request's answer"));
-            }
-            let will = standing
-                .connections
-                .iter()
-                .any(|connection| connection.pending == Some((client, connection.life)));
-            if *phase == Phase::PromisedNotRun && (ran > 0 || will) {
-                return Err(format!("request {client} was told 'not run' and ran, or will"));
-            }
-            if standing.sent_for_nobody[client] {
-                return Err(format!("request {client} went out after its client had left"));
-            }
-            self.check_ticket(standing, client, ran > 0 || will)?;
-        }
-        Ok(())
+        (0..2).try_for_each(|client| self.check_request(state, client))
     }
 }
--- a/crates/simulation/src/search/request_course.rs
+++ b/crates/simulation/src/search/request_course.rs
@@ -1,22 +1,16 @@
 //! The real courses of two requests, driven anew from their events.
 
+use super::request_plan::{entry, go, table, target_name};
 use super::request_wire::Kind;
 use postbarrow_messages::Response;
-use postbarrow_node::{Course, Event, Go, Now, Passed, Step, Told};
-use postbarrow_routing::{Entry, Found, Table};
-use postbarrow_state::{
-    Kind as RouteKind, Labels, Name, PlanHead, Route, Service, Settlement, State, Target,
-};
+use postbarrow_node::{Course, Event, Now, Passed, Step, Told};
+use postbarrow_state::{Name, Settlement};
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
-use std::sync::Arc;
 
 /// When both requests come.
 pub const START_MS: u64 = 10_000;
 /// Each must end in this time.
 pub const DEADLINE_MS: u64 = 4_000;
-/// Extra goes do not bound the search: per cent, a second, saved.
-const EXTRA_GOES: (u64, u64, u64) = (100, 100, 100);
 
 /// One event of one request, as its course is told it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -235,77 +229,3 @@
         },
     }
 }
-
-fn target_name(at: usize) -> Name {
-    Name::from(["target-1", "target-2"][at])
-}
-
-fn go(client: usize, logged: bool) -> Go {
-    Go {
-        key: Name::from(format!("key-{client}")),
-        keyed: false,
-        digest: [client as u8; 32],
-        node: 5,
-        zone: Name::from("a"),
-        logged,
-        until_ms: START_MS + DEADLINE_MS,
-        seed: client as u64,
-    }
-}
-
-fn entry(table: &Table, kind: Kind) -> Arc<Entry> {
-    let (method, path) = match kind {
-        Kind::OneTime => ("POST", "/transfers"),
-        Kind::Lookup => ("GET", "/stock"),
-    };
-    match table.find(method, path, &[]) {
-        Found::Route(entry) => entry,
-        Found::NoRoute | Found::OtherMethods(_) => panic!("the model's plan has this route"),
-    }
-}
-
-fn table() -> Table {
-    let head = PlanHead { version: "v1".into(), base: None, offset: 1 };
-    let mut state = State { plan: Some(Arc::new(head)), ..State::default() };
-    let service = Service { name: "s".into(), labels: Labels::new() };
-    state.services.insert("s".into(), Arc::new(service));
-    for (path, method, kind) in
-        [("/transfers", "POST", RouteKind::OneTime), ("/stock", "GET", RouteKind::Lookup)]
-    {
-        state.routes.push_back(Arc::new(route(path, method, kind)));
-    }
-    for at in 0..2 {
-        let target = Target {
-            instance: target_name(at),
-            service: "s".into(),
-            address: SocketAddr::from(([10, 4, 0, 1 + at as u8], 80)),
-            zone: "a".into(),
-            labels: Labels::new(),
-            draining: false,
-            down: false,
-            slots: 0,
-            cold: false,
-        };
-        state.targets.insert(target.instance.clone(), Arc::new(target));
-    }
-    Table::new(Arc::new(state), 1, &Table::empty().with_extra(EXTRA_GOES))
-}
-
-fn route(path: &str, method: &str, kind: RouteKind) -> Route {
-    Route {
-        path: path.into(),
-        methods: vec![method.into()],
-        kind,
-        service: "s".into(),
-        when: None,
-        body_bytes: 1_000,
-        rate_per_s: None,
-        concurrency: None,
-        deadline_ms: DEADLINE_MS,
-        host: None,
-        shares: Vec::new(),
-        tries: None,
-        goal_ms: None,
-        precedence: 0,
-    }
-}
--- /dev/null
+++ b/crates/simulation/src/search/request_plan.rs
@@ -0,0 +1,90 @@
+//! The plan and the targets of the model of two requests.
+
+use super::request_course::{DEADLINE_MS, START_MS};
+use super::request_wire::Kind;
+use postbarrow_node::Go;
+use postbarrow_routing::{Entry, Found, Table};
+use postbarrow_state::{Kind as RouteKind, Labels, Name, PlanHead, Route, Service, State, Target};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Extra goes do not bound the search: per cent, a second, saved.
+const EXTRA_GOES: (u64, u64, u64) = (100, 100, 100);
+
+/// The name of one of the two targets.
+pub(super) fn target_name(at: usize) -> Name {
+    Name::from(["target-1", "target-2"][at])
+}
+
+/// What a request is, beyond its bytes.
+pub(super) fn go(client: usize, logged: bool) -> Go {
+    Go {
+        key: Name::from(format!("key-{client}")),
+        keyed: false,
+        digest: [client as u8; 32],
+        node: 5,
+        zone: Name::from("a"),
+        logged,
+        until_ms: START_MS + DEADLINE_MS,
+        seed: client as u64,
+    }
+}
+
+/// The route that a request of this kind takes.
+pub(super) fn entry(table: &Table, kind: Kind) -> Arc<Entry> {
+    let (method, path) = match kind {
+        Kind::OneTime => ("POST", "/transfers"),
+        Kind::Lookup => ("GET", "/stock"),
+    };
+    match table.find(method, path, &[]) {
+        Found::Route(entry) => entry,
+        Found::NoRoute | Found::OtherMethods(_) => panic!("the model's plan has this route"),
+    }
+}
+
+/// One service of two targets, with a route of each kind.
+pub(super) fn table() -> Table {
+    let head = PlanHead { version: "v1".into(), base: None, offset: 1 };
+    let mut state = State { plan: Some(Arc::new(head)), ..State::default() };
+    let service = Service { name: "s".into(), labels: Labels::new() };
+    state.services.insert("s".into(), Arc::new(service));
+    for (path, method, kind) in
+        [("/transfers", "POST", RouteKind::OneTime), ("/stock", "GET", RouteKind::Lookup)]
+    {
+        state.routes.push_back(Arc::new(route(path, method, kind)));
+    }
+    for at in 0..2 {
+        let target = Target {
+            instance: target_name(at),
+            service: "s".into(),
+            address: SocketAddr::from(([10, 4, 0, 1 + at as u8], 80)),
+            zone: "a".into(),
+            labels: Labels::new(),
+            draining: false,
+            down: false,
+            slots: 0,
+            cold: false,
+        };
+        state.targets.insert(target.instance.clone(), Arc::new(target));
+    }
+    Table::new(Arc::new(state), 1, &Table::empty().with_extra(EXTRA_GOES))
+}
+
+fn route(path: &str, method: &str, kind: RouteKind) -> Route {
+    Route {
+        path: path.into(),
+        methods: vec![method.into()],
+        kind,
+        service: "s".into(),
+        when: None,
+        body_bytes: 1_000,
+        rate_per_s: None,
+        concurrency: None,
+        deadline_ms: DEADLINE_MS,
+        host: None,
+        shares: Vec::new(),
+        tries: None,
+        goal_ms: None,
+        precedence: 0,
+    }
+}
