Split the connection to a target and its tests by what they do

Change: moves only. connect.rs, proving.rs and response.rs hold what their names say; the tests of clients that leave stand in repeatable.rs and promised.rs.

--- a/programs/data-plane/src/target_connection.rs
+++ b/programs/data-plane/src/target_connection.rs
@@ -1,17 +1,17 @@
 //! One connection to a target, which carries one request at a time.
 
-use crate::answer::{self, Parsed, Size};
+mod connect;
+mod proving;
+mod response;
+
 use crate::dialect::Heard;
-use crate::proof::read_proof;
 use postbarrow_constants::traffic::*;
 use postbarrow_downstream::client_watch::{ClientWatch, Waited};
-use postbarrow_downstream::memory::{Memory, Reserved};
+use postbarrow_downstream::memory::Reserved;
 use postbarrow_node::{Passed, TargetResponse};
-use postbarrow_state::Target;
 use postbarrow_transport::{Interest, clock_ms, give_up_unheard};
-use socket2::{Domain, Protocol, Socket, Type};
-use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{ErrorKind, Write};
+use std::net::TcpStream;
 
 /// A connection to a target. It is read byte by byte, so that bytes that are no part of the
 /// response are seen, and every wait on it ends when the client of its request leaves.
@@ -63,29 +63,6 @@
 const CLIENT_LEFT: &str = "the client left";
 
 impl TargetConnection {
-    /// Connects, within `TARGET_CONNECT_MS` and until a moment of the boot-time clock, unless the
-    /// client leaves before.
-    ///
-    /// # Errors
-    /// Why there is no connection.
-    pub fn open(
-        address: SocketAddr,
-        until_ms: u64,
-        client: &ClientWatch,
-    ) -> Result<TargetConnection, String> {
-        let until_ms = until_ms.min(clock_ms() + TARGET_CONNECT_MS);
-        let stream = connect(address, until_ms, client).map_err(|why| format!("connect: {why}"))?;
-        Ok(TargetConnection {
-            stream,
-            buffer: Vec::new(),
-            start: 0,
-            unheard_ms: 0,
-            first: true,
-            used_ms: clock_ms(),
-            keep_ms: TARGET_IDLE_MS,
-        })
-    }
-
     /// Nothing came on it since it was given back, and the target has not closed it.
     pub fn is_fresh(&self) -> bool {
         let seen = self.stream.peek(&mut [0]);
@@ -93,38 +70,6 @@
         is_quiet && clock_ms() < self.used_ms + self.keep_ms
     }
 
-    /// Asks who is there: instance, service and labels must be the target's own. Gives how many
-    /// requests are at work at the target.
-    ///
-    /// # Errors
-    /// No proof by then, or that of another target.
-    pub fn prove(
-        &mut self,
-        target: &Target,
-        until_ms: u64,
-        client: &ClientWatch,
-    ) -> Result<u64, String> {
-        let host = ("Host".to_string(), target.address.to_string());
-        let request = Outgoing {
-            method: "GET",
-            path: PROOF_PATH,
-            headers: &[host],
-            body: &[],
-            until_ms,
-            repeatable: true,
-        };
-        let terms = Terms { may_send: &|| true, client, judge: &|_, _| Heard::Whole };
-        let space = Memory::new(HEAD_BYTES as u64);
-        let mut memory = space.reserve(0).ok_or("no space for a proof")?;
-        match self.exchange(&request, &terms, &mut memory) {
-            (Passed::Whole(response), true) => check_proof(&response, target),
-            (Passed::Whole(_), false) => Err("the target closes after its proof".into()),
-            (Passed::Unsent(why) | Passed::NotRun(why) | Passed::Unknown { why, .. }, _) => {
-                Err(format!("proof: {why}"))
-            }
-        }
-    }
-
     /// Passes a request on, once. The connection comes back only if it may be used again.
     pub fn pass(
         mut self,
@@ -241,109 +186,6 @@
             Err(error) => Err(Interrupted::Failed(error.to_string())),
         }
     }
-
-    /// Reads at least one byte more.
-    fn more(&mut self, until_ms: u64, client: &ClientWatch) -> Result<(), Interrupted> {
-        loop {
-            self.wait(Interest::Read, until_ms, client)?;
-            let had = self.buffer.len();
-            self.buffer.resize(had + READ_BYTES, 0);
-            let read = self.stream.read(&mut self.buffer[had..]);
-            self.buffer.truncate(had + read.as_ref().map_or(0, |length| *length));
-            match read {
-                Ok(0) => return Err(Interrupted::Failed("closed before the end".into())),
-                Ok(_) => return Ok(()),
-                Err(error) => match error.kind() {
-                    ErrorKind::WouldBlock | ErrorKind::Interrupted => {}
-                    _ => return Err(Interrupted::Failed(error.to_string())),
-                },
-            }
-        }
-    }
-
-    /// One whole response, and whether the target keeps the connection open after it.
-    fn read(
-        &mut self,
-        request: &Outgoing<'_>,
-        client: &ClientWatch,
-        memory: &mut Reserved,
-    ) -> Result<(TargetResponse, bool), Interrupted> {
-        let parsed = self.read_head(request, client)?;
-        let mut response = parsed.response;
-        response.body = match parsed.size {
-            Size::Bytes(size) => self.read_sized(size, request.until_ms, client, memory)?,
-            Size::Chunks => self.read_chunks(request.until_ms, client, memory)?,
-        };
-        Ok((response, parsed.again))
-    }
-
-    /// The head of a final response; interim ones are passed over.
-    fn read_head(
-        &mut self,
-        request: &Outgoing<'_>,
-        client: &ClientWatch,
-    ) -> Result<Parsed, Interrupted> {
-        loop {
-            let rest = &self.buffer[self.start..];
-            match answer::parse(rest, request.method).map_err(Interrupted::Failed)? {
-                None if rest.len() > HEAD_BYTES => {
-                    return Err(Interrupted::Failed("its head is too large".into()));
-                }
-                None => self.more(request.until_ms, client)?,
-                Some(parsed) => {
-                    self.start += parsed.length;
-                    self.keep_ms = parsed.keep_ms.unwrap_or(self.keep_ms);
-                    if parsed.response.status >= FIRST_FINAL_STATUS {
-                        return Ok(parsed);
-                    }
-                }
-            }
-        }
-    }
-
-    fn read_sized(
-        &mut self,
-        size: usize,
-        until_ms: u64,
-        client: &ClientWatch,
-        memory: &mut Reserved,
-    ) -> Result<Vec<u8>, Interrupted> {
-        if size > RESPONSE_BYTES || !memory.grow(size as u64) {
-            return Err(no_space());
-        }
-        self.buffer.reserve(size.saturating_sub(self.buffer.len() - self.start));
-        while self.buffer.len() - self.start < size {
-            self.more(until_ms, client)?;
-        }
-        let body = self.buffer[self.start..self.start + size].to_vec();
-        self.start += size;
-        Ok(body)
-    }
-
-    fn read_chunks(
-        &mut self,
-        until_ms: u64,
-        client: &ClientWatch,
-        memory: &mut Reserved,
-    ) -> Result<Vec<u8>, Interrupted> {
-        let mut body = Vec::new();
-        loop {
-            let rest = &self.buffer[self.start..];
-            let Some((used, part)) = answer::chunk(rest).map_err(Interrupted::Failed)? else {
-                self.more(until_ms, client)?;
-                continue;
-            };
-            if !memory.grow(part.len() as u64) || body.len() + part.len() > RESPONSE_BYTES {
-                return Err(no_space());
-            }
-            let is_last = part.is_empty();
-            body.extend_from_slice(&rest[part]);
-            self.start += used;
-            if is_last {
-                return Ok(body);
-            }
-        }
-    }
 }
 
 impl Interrupted {
@@ -356,26 +198,6 @@
     }
 }
 
-fn no_space() -> Interrupted {
-    Interrupted::Failed("this node has no space for it".into())
-}
-
-fn connect(address: SocketAddr, until_ms: u64, client: &ClientWatch) -> io::Result<TcpStream> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_nonblocking(true)?;
-    socket.set_tcp_nodelay(true)?;
-    match socket.connect(&address.into()) {
-        Err(error) if error.raw_os_error() != Some(libc::EINPROGRESS) => return Err(error),
-        _ => {}
-    }
-    let stream = TcpStream::from(socket);
-    match client.wait_for(&stream, Interest::Write, until_ms)? {
-        Waited::Ready => stream.take_error()?.map_or(Ok(stream), Err),
-        Waited::ClientLeft => Err(io::Error::other(CLIENT_LEFT)),
-        Waited::TimedOut => Err(ErrorKind::TimedOut.into()),
-    }
-}
-
 /// The bytes of a request, with a length of its own for its body.
 fn encode(request: &Outgoing<'_>) -> Vec<u8> {
     let Outgoing { method, path, headers, body, .. } = request;
@@ -392,18 +214,3 @@
     bytes.extend_from_slice(body);
     bytes
 }
-
-fn check_proof(response: &TargetResponse, target: &Target) -> Result<u64, String> {
-    if response.status != 200 {
-        return Err(format!("proof: status {}", response.status));
-    }
-    let text = std::str::from_utf8(&response.body).map_err(|error| format!("proof: {error}"))?;
-    let proof = read_proof(text)?;
-    if proof.instance != target.instance
-        || proof.service != target.service
-        || proof.labels != target.labels
-    {
-        return Err(format!("another target stands at {}", target.address));
-    }
-    Ok(proof.occupancy)
-}
--- /dev/null
+++ b/programs/data-plane/src/target_connection/connect.rs
@@ -0,0 +1,50 @@
+//! Opening a connection to a target.
+
+use super::{CLIENT_LEFT, TargetConnection};
+use postbarrow_constants::traffic::{TARGET_CONNECT_MS, TARGET_IDLE_MS};
+use postbarrow_downstream::client_watch::{ClientWatch, Waited};
+use postbarrow_transport::{Interest, clock_ms};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, TcpStream};
+
+impl TargetConnection {
+    /// Connects, within `TARGET_CONNECT_MS` and until a moment of the boot-time clock, unless the
+    /// client leaves before.
+    ///
+    /// # Errors
+    /// Why there is no connection.
+    pub fn open(
+        address: SocketAddr,
+        until_ms: u64,
+        client: &ClientWatch,
+    ) -> Result<TargetConnection, String> {
+        let until_ms = until_ms.min(clock_ms() + TARGET_CONNECT_MS);
+        let stream = connect(address, until_ms, client).map_err(|why| format!("connect: {why}"))?;
+        Ok(TargetConnection {
+            stream,
+            buffer: Vec::new(),
+            start: 0,
+            unheard_ms: 0,
+            first: true,
+            used_ms: clock_ms(),
+            keep_ms: TARGET_IDLE_MS,
+        })
+    }
+}
+
+fn connect(address: SocketAddr, until_ms: u64, client: &ClientWatch) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.set_tcp_nodelay(true)?;
+    match socket.connect(&address.into()) {
+        Err(error) if error.raw_os_error() != Some(libc::EINPROGRESS) => return Err(error),
+        _ => {}
+    }
+    let stream = TcpStream::from(socket);
+    match client.wait_for(&stream, Interest::Write, until_ms)? {
+        Waited::Ready => stream.take_error()?.map_or(Ok(stream), Err),
+        Waited::ClientLeft => Err(io::Error::other(CLIENT_LEFT)),
+        Waited::TimedOut => Err(ErrorKind::TimedOut.into()),
+    }
+}
--- a/programs/data-plane/src/tests/client_left.rs
+++ b/programs/data-plane/src/tests/client_left.rs
@@ -1,11 +1,14 @@
 //! Clients that leave before their answer: nothing more is begun for them, repeatable work for them
 //! ends, and what a one-time request was promised stays.
 
-use super::named::Words;
+mod promised;
+mod repeatable;
+
+use super::named::{Words, response};
 use super::rig::*;
 use postbarrow_messages::Request;
 use postbarrow_state::{Settlement, Target};
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::mpsc::{Receiver, channel};
@@ -104,95 +107,7 @@
 }
 
 fn answers() -> Vec<Script> {
-    vec![Script::Reply(super::named::response("p", "", "done"))]
-}
-
-#[test]
-fn work_on_a_lookup_ends_when_its_client_leaves() {
-    for (named, how) in [false, true].into_iter().flat_map(|named| BOTH.map(|how| (named, how))) {
-        let (seen, watched) = sightings();
-        let one = ScriptedTarget::start("s-1", "s", vec![Script::Hold(watched)]);
-        let other = ScriptedTarget::start("s-2", "s", answers());
-        let rig = node(named, &[("s-1", &one), ("s-2", &other)]);
-        let stream = client(&rig, LOOK);
-        hears(&seen.began, "the target never got it");
-        leave(stream, how);
-        hears(&seen.ended, "the target still works for a client that left");
-        holds_nothing(&rig);
-        assert_eq!((one.runs(), other.runs()), (1, 0), "named {named}, {how:?}");
-    }
-}
-
-#[test]
-fn work_ends_for_a_client_that_leaves_behind_its_next_request() {
-    let (seen, watched) = sightings();
-    let one = ScriptedTarget::start("s-1", "s", vec![Script::Hold(watched)]);
-    let rig = node(true, &[("s-1", &one)]);
-    let stream = client(&rig, &[LOOK, LOOK].concat());
-    hears(&seen.began, "the target never got it");
-    leave(stream, Leave::Close);
-    hears(&seen.ended, "the target still works for a client that left");
-    holds_nothing(&rig);
-    assert_eq!(one.runs(), 1, "its next request is begun no more");
-}
-
-#[test]
-fn a_lookup_whose_target_breaks_after_its_client_left_goes_nowhere_else() {
-    for how in BOTH {
-        let (breaks, cue) = moment();
-        let one = ScriptedTarget::start("s-1", "s", vec![Script::LaterReset(Vec::new(), cue)]);
-        let other = ScriptedTarget::start("s-2", "s", answers());
-        let rig = node(true, &[("s-1", &one), ("s-2", &other)]);
-        let stream = client(&rig, LOOK);
-        while one.runs() == 0 {
-            thread::yield_now();
-        }
-        leave(stream, how);
-        breaks.comes();
-        holds_nothing(&rig);
-        assert_eq!((one.runs(), other.runs()), (1, 0), "{how:?}");
-    }
-}
-
-#[test]
-fn a_target_that_proves_itself_late_gets_nothing_of_a_client_that_left() {
-    for request in [LOOK, POST] {
-        let (seen, watched) = sightings();
-        let one = ScriptedTarget::unproved("s-1", "s", watched);
-        let other = ScriptedTarget::start("s-2", "s", answers());
-        let rig = node(false, &[("s-1", &one), ("s-2", &other)]);
-        let stream = client(&rig, request);
-        hears(&seen.began, "the target was never asked for its proof");
-        leave(stream, Leave::Close);
-        hears(&seen.ended, "the target is still asked for its proof");
-        holds_nothing(&rig);
-        assert_eq!((one.runs(), other.runs()), (0, 0));
-        assert!(rig.settled().is_empty(), "no ticket was asked for");
-    }
-}
-
-#[test]
-fn a_body_on_its_way_to_a_target_that_does_not_read_goes_no_further() {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let rig = Rig::speaking(Arc::new(Words), Vec::new(), yes);
-    let unread = target("s-1", "s", listener.local_addr().unwrap());
-    rig.publish_with(vec![unread], LONG_MS);
-    let body = vec![7; LARGE_BYTES as usize];
-    let head = format!(
-        "PUT /large/1 HTTP/1.1\r\nHost: h\r\nAsk: p\r\nContent-Length: {LARGE_BYTES}\r\n\r\n"
-    );
-    let mut stream = client(&rig, head.as_bytes());
-    stream.write_all(&body).unwrap();
-    let (mut target, _) = listener.accept().unwrap();
-    let mut first = [0; 3];
-    target.read_exact(&mut first).unwrap();
-    assert_eq!(&first, b"PUT");
-    leave(stream, Leave::Close);
-    holds_nothing(&rig);
-    let mut rest = Vec::new();
-    let _ = target.read_to_end(&mut rest);
-    assert!(rest.len() < LARGE_BYTES as usize, "the whole body went out all the same");
-    assert!(rig.shared.memory.reserve(LARGE_BYTES).is_some(), "its memory is free again");
+    vec![Script::Reply(response("p", "", "done"))]
 }
 
 /// A controller that keeps silent on tickets until the test lets it speak.
@@ -211,131 +126,3 @@
     publish(&rig, targets);
     (rig, hears_asked, move || speak.send(()).unwrap())
 }
-
-#[test]
-fn a_ticket_granted_after_its_client_left_is_settled_unsent_and_never_used() {
-    for how in BOTH {
-        let one = ScriptedTarget::start("s-1", "s", vec![Script::Whole("x")]);
-        let (rig, asked, speak) = silent_controller(&[("s-1", &one)]);
-        let stream = client(&rig, POST);
-        hears(&asked, "no ticket was asked for");
-        leave(stream, how);
-        holds_nothing(&rig);
-        speak();
-        assert_eq!(rig.settled(), [Settlement::Unsent], "{how:?}");
-        assert_eq!(one.runs(), 0, "{how:?}");
-        assert_eq!(rig.withdrawn(), 1, "its question is not sent again");
-    }
-}
-
-#[test]
-fn a_ticket_granted_right_after_its_client_left_is_never_used() {
-    for how in BOTH {
-        let one = ScriptedTarget::start("s-1", "s", vec![Script::Whole("x")]);
-        let (rig, asked, speak) = silent_controller(&[("s-1", &one)]);
-        let stream = client(&rig, POST);
-        hears(&asked, "no ticket was asked for");
-        leave(stream, how);
-        speak();
-        holds_nothing(&rig);
-        assert_eq!(one.runs(), 0, "{how:?}");
-        assert_eq!(rig.settled(), [Settlement::Unsent], "{how:?}");
-    }
-}
-
-#[test]
-fn a_one_time_request_at_its_target_runs_on_and_is_settled_as_it_ended() {
-    for how in BOTH {
-        let (ends, cue) = moment();
-        let whole = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone".to_vec();
-        let one = ScriptedTarget::start("s-1", "s", vec![Script::Later(Vec::new(), cue, whole)]);
-        let rig = node(false, &[("s-1", &one)]);
-        let stream = client(&rig, POST);
-        while one.runs() == 0 {
-            thread::yield_now();
-        }
-        leave(stream, how);
-        ends.comes();
-        rests(&rig);
-        assert_eq!(rig.settled(), [Settlement::Ran], "{how:?}");
-        let kept = rig.asked.lock().unwrap().iter().any(|request| {
-            matches!(request, Request::Settle { response: Some(kept), .. } if kept.body == b"done")
-        });
-        assert!(kept, "the answer is kept for a repeat under its key");
-    }
-}
-
-#[test]
-fn a_one_time_request_that_was_turned_away_goes_nowhere_else_without_its_client() {
-    let (ends, cue) = moment();
-    let away = super::named::response("p", "Not-Run: full\r\n", "");
-    let one = ScriptedTarget::start("s-1", "s", vec![Script::Later(Vec::new(), cue, away)]);
-    let other = ScriptedTarget::start("s-2", "s", answers());
-    let rig = node(true, &[("s-1", &one), ("s-2", &other)]);
-    let stream = client(&rig, POST);
-    while one.runs() == 0 {
-        thread::yield_now();
-    }
-    leave(stream, Leave::Close);
-    ends.comes();
-    rests(&rig);
-    assert_eq!((one.runs(), other.runs()), (1, 0));
-}
-
-#[test]
-fn a_call_or_watch_whose_caller_left_gives_its_place_back_and_is_asked_no_more() {
-    let calls = ["POST /coordination/numbers/n", "GET /coordination/watch/numbers?after=3"];
-    for call in calls {
-        let (rig, asked, speak) = silent_controller(&[]);
-        let head = format!("{call} HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
-        let stream = client(&rig, head.as_bytes());
-        hears(&asked, "the controller was never asked");
-        leave(stream, Leave::Close);
-        rests(&rig);
-        speak();
-        assert_eq!(rig.withdrawn(), 1, "{call}");
-        let asked = rig.asked.lock().unwrap();
-        let calls = asked.iter().filter(|request| matches!(request, Request::Call { .. }));
-        assert_eq!(calls.count(), 1, "{call}");
-    }
-}
-
-#[test]
-fn a_body_is_not_waited_for_longer_than_its_client_waits() {
-    let one = ScriptedTarget::start("s-1", "s", answers());
-    let rig = node(true, &[("s-1", &one)]);
-    let half = b"POST /post/1 HTTP/1.1\r\nHost: h\r\nWait-Ms: 1\r\nContent-Length: 9\r\n\r\nabc";
-    let mut stream = client(&rig, half);
-    stream.set_read_timeout(Some(HANG)).unwrap();
-    let mut told = String::new();
-    stream.read_to_string(&mut told).expect("it is answered without its body's rest");
-    assert!(told.starts_with("HTTP/1.1 408"), "{told}");
-    holds_nothing(&rig);
-    assert_eq!(one.runs(), 0);
-}
-
-#[test]
-fn a_client_that_leaves_amid_its_body_or_its_response_leaves_nothing_behind() {
-    let mut large = format!("HTTP/1.1 200 OK\r\nAsk: p\r\nContent-Length: {LARGE}\r\n\r\n");
-    large.push_str(&"a".repeat(LARGE));
-    let one = ScriptedTarget::start("s-1", "s", vec![Script::Reply(large.into_bytes())]);
-    let rig = node(true, &[("s-1", &one)]);
-    let mut stream = client(&rig, LOOK);
-    let mut first = [0; 1];
-    stream.read_exact(&mut first).unwrap();
-    leave(stream, Leave::Close);
-    let half = b"POST /post/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc";
-    leave(client(&rig, half), Leave::Close);
-    holds_nothing(&rig);
-    for _ in 0..HANG.as_millis() {
-        if rig.shared.downstreams.load(Relaxed) == 0 {
-            break;
-        }
-        thread::sleep(Duration::from_millis(1));
-    }
-    assert_eq!(rig.shared.downstreams.load(Relaxed), 0, "connections of clients that left");
-    let free = |memory: &Arc<postbarrow_downstream::memory::Memory>| {
-        memory.reserve(postbarrow_constants::traffic::BODIES_BYTES as u64).is_some()
-    };
-    assert!(free(&rig.shared.responses) && free(&rig.shared.memory), "memory of both ways");
-}
