--- a/programs/data-plane/src/tests/client_left.rs
+++ b/programs/data-plane/src/tests/client_left.rs
@@ -52,6 +52,13 @@
     from.recv_timeout(HANG).unwrap_or_else(|_| panic!("{what}"));
 }
 
+/// Waits until a target has a request.
+fn gets(target: &ScriptedTarget) {
+    while target.runs() == 0 {
+        thread::yield_now();
+    }
+}
+
 /// Waits until the node has nothing at work any more.
 fn rests(rig: &Rig) {
     let count = |of: &AtomicUsize| of.load(Relaxed);
--- a/programs/data-plane/src/tests/client_left/promised.rs
+++ b/programs/data-plane/src/tests/client_left/promised.rs
@@ -19,14 +19,20 @@
     }
 }
 
+/// A one-time request whose client leaves while its ticket is asked for.
+fn left_without_a_ticket(how: Leave) -> (ScriptedTarget, Rig, impl Fn()) {
+    let one = ScriptedTarget::start("s-1", "s", vec![Script::Whole("x")]);
+    let (rig, asked, speak) = silent_controller(&[("s-1", &one)]);
+    let stream = client(&rig, POST);
+    hears(&asked, "no ticket was asked for");
+    leave(stream, how);
+    (one, rig, speak)
+}
+
 #[test]
 fn a_ticket_granted_after_its_client_left_is_settled_unsent_and_never_used() {
     for how in BOTH {
-        let one = ScriptedTarget::start("s-1", "s", vec![Script::Whole("x")]);
-        let (rig, asked, speak) = silent_controller(&[("s-1", &one)]);
-        let stream = client(&rig, POST);
-        hears(&asked, "no ticket was asked for");
-        leave(stream, how);
+        let (one, rig, speak) = left_without_a_ticket(how);
         holds_nothing(&rig);
         speak();
         assert_eq!(rig.settled(), [Settlement::Unsent], "{how:?}");
@@ -38,11 +44,7 @@
 #[test]
 fn a_ticket_granted_right_after_its_client_left_is_never_used() {
     for how in BOTH {
-        let one = ScriptedTarget::start("s-1", "s", vec![Script::Whole("x")]);
-        let (rig, asked, speak) = silent_controller(&[("s-1", &one)]);
-        let stream = client(&rig, POST);
-        hears(&asked, "no ticket was asked for");
-        leave(stream, how);
+        let (one, rig, speak) = left_without_a_ticket(how);
         speak();
         holds_nothing(&rig);
         assert_eq!(one.runs(), 0, "{how:?}");
@@ -58,9 +60,7 @@
         let one = ScriptedTarget::start("s-1", "s", vec![Script::Later(Vec::new(), cue, whole)]);
         let rig = node(false, &[("s-1", &one)]);
         let stream = client(&rig, POST);
-        while one.runs() == 0 {
-            thread::yield_now();
-        }
+        gets(&one);
         leave(stream, how);
         ends.comes();
         rests(&rig);
@@ -80,9 +80,7 @@
     let other = ScriptedTarget::start("s-2", "s", answers());
     let rig = node(true, &[("s-1", &one), ("s-2", &other)]);
     let stream = client(&rig, POST);
-    while one.runs() == 0 {
-        thread::yield_now();
-    }
+    gets(&one);
     leave(stream, Leave::Close);
     ends.comes();
     rests(&rig);
--- a/programs/data-plane/src/tests/client_left/repeatable.rs
+++ b/programs/data-plane/src/tests/client_left/repeatable.rs
@@ -40,9 +40,7 @@
         let other = ScriptedTarget::start("s-2", "s", answers());
         let rig = node(true, &[("s-1", &one), ("s-2", &other)]);
         let stream = client(&rig, LOOK);
-        while one.runs() == 0 {
-            thread::yield_now();
-        }
+        gets(&one);
         leave(stream, how);
         breaks.comes();
         holds_nothing(&rig);
