Search leaving clients beside resets and freezes, and give the wide searches their room

Cause: the settlement of a ticket whose target turned its request away adds states, and the wide search of tickets, closes and replacements met its bound of 600,000 (it is run by hand, so no run of the tests showed it). Its bound is 2,000,000 now, the everyday ones keep theirs.

--- a/crates/simulation/tests/search.rs
+++ b/crates/simulation/tests/search.rs
@@ -3,10 +3,16 @@
 use postbarrow_simulation::search::{Bounds, Covered, Faults, Kind, Model, Requests, search};
 
 const BOUNDS: Bounds = Bounds { depth: 60, states: 600_000 };
+/// For the searches that are run by hand.
+const WIDE: Bounds = Bounds { depth: 60, states: 2_000_000 };
 
 fn covers<M: Model>(name: &str, model: &M) -> Covered {
+    covers_within(BOUNDS, name, model)
+}
+
+fn covers_within<M: Model>(bounds: Bounds, name: &str, model: &M) -> Covered {
     let started = std::time::Instant::now();
-    match search(model, BOUNDS) {
+    match search(model, bounds) {
         Ok(covered) => {
             assert!(covered.complete, "{name}: a bound cut the search short: {covered:?}");
             println!("{name}: {covered:?}, took {:?}", started.elapsed());
@@ -82,12 +88,20 @@
 
 /// `cargo test -p postbarrow-simulation --test search -- --ignored`
 #[test]
-#[ignore = "two wider searches of a minute in all, beyond the everyday ones above"]
+#[ignore = "four wider searches of a minute in all, beyond the everyday ones above"]
 fn two_faults_at_once() {
     let faults = Faults { strays: 1, closes: 1, ..NONE };
-    covers("strays and closes", &Requests::new(MIXED, false, faults));
+    covers_within(WIDE, "strays and closes", &Requests::new(MIXED, false, faults));
     let faults = Faults { closes: 1, replaces: 1, ..NONE };
-    covers("tickets, closes and replaces", &Requests::new(BOTH_ONE_TIME, true, faults));
+    covers_within(
+        WIDE,
+        "tickets, closes and replaces",
+        &Requests::new(BOTH_ONE_TIME, true, faults),
+    );
+    let faults = Faults { closes: 1, leaves: true, ..NONE };
+    covers_within(WIDE, "tickets, closes and leaves", &Requests::new(MIXED, true, faults));
+    let faults = Faults { freezes: true, leaves: true, ..NONE };
+    covers_within(WIDE, "freezes and leaves", &Requests::new(MIXED, false, faults));
 }
 
 #[test]
