Document what the connection crates and both programs show, and deny what is not

42 public items of downstream, 3 of constants, 4 of the controller client, 9 and 10 of the programs had no doc comment; transport and platform had none missing.

--- a/crates/constants/src/coordination.rs
+++ b/crates/constants/src/coordination.rs
@@ -37,8 +37,9 @@
 pub const WATCH_ASK_MS: u64 = 250;
 /// Events in one watch response.
 pub const WATCH_EVENTS: usize = 500;
-/// Shortest and longest time to live of a lock.
+/// Shortest time to live of a lock; a shorter wish is refused.
 pub const LOCK_TTL_LEAST_MS: u64 = 500;
+/// Longest time to live of a lock.
 pub const LOCK_TTL_MOST_MS: u64 = 10 * 60 * 1_000;
 /// Name of a lock, number or key.
 pub const NAME_BYTES: usize = 256;
--- a/crates/constants/src/lib.rs
+++ b/crates/constants/src/lib.rs
@@ -1,5 +1,7 @@
 //! Every tunable of postbarrow, with its unit in the name and its reason beside it.
 
+#![deny(missing_docs)]
+
 pub mod consensus;
 pub mod coordination;
 pub mod nodes;
--- a/crates/constants/src/plans.rs
+++ b/crates/constants/src/plans.rs
@@ -32,6 +32,7 @@
 pub const SAMPLES_TOLD: usize = 4;
 /// Recent requests the controller keeps, and for how long.
 pub const SAMPLES: usize = 2_000;
+/// They are forgotten after this.
 pub const SAMPLES_KEEP_MS: u64 = 60_000;
 /// A longer path, or header that a rule names, is not sampled.
 pub const SAMPLE_BYTES: usize = 256;
--- a/crates/constants/src/traffic.rs
+++ b/crates/constants/src/traffic.rs
@@ -35,8 +35,9 @@
 pub const FIRST_FINAL_STATUS: u16 = 200;
 /// Room for a request's head on its way to a target: most take less, and none has to.
 pub const HEAD_GUESS_BYTES: usize = 512;
-/// Head of a request, and its headers.
+/// Head of a request or response, at most.
 pub const HEAD_BYTES: usize = 32 * 1024;
+/// Headers of a head, at most.
 pub const HEADERS: usize = 100;
 /// Bodies of requests held in memory by one node; as much again for those of responses.
 pub const BODIES_BYTES: usize = 256 * 1024 * 1024;
--- a/crates/controller-client/src/lib.rs
+++ b/crates/controller-client/src/lib.rs
@@ -1,4 +1,5 @@
 #![doc = include_str!("../README.md")]
+#![deny(missing_docs)]
 
 mod open;
 
@@ -23,9 +24,19 @@
 /// What the owner of a client does next.
 pub enum Effect {
     /// A question goes out.
-    Send { to: SocketAddr, message: Message },
+    Send {
+        /// A control node.
+        to: SocketAddr,
+        /// The question with its key.
+        message: Message,
+    },
     /// A question has its end.
-    Answer { key: u64, response: Response },
+    Answer {
+        /// Of the question.
+        key: u64,
+        /// The controller's, or what the client concludes.
+        response: Response,
+    },
 }
 
 impl ControllerClient {
--- a/crates/downstream/src/body.rs
+++ b/crates/downstream/src/body.rs
@@ -1,16 +1,23 @@
+//! Bodies of requests, read whole within bounds.
+
 use crate::connection::Connection;
 use crate::head::{Length, Reject};
 use crate::memory::{Memory, Reserved};
 use postbarrow_constants::traffic::CHUNK_LINE_BYTES;
 use std::sync::Arc;
 
+/// A whole body, and the memory that it takes until it is dropped.
 pub struct Body {
+    /// What came, without the framing of chunks.
     pub bytes: Vec<u8>,
     _reserved: Reserved,
 }
 
 /// Takes in the whole body, within the route's bound and the node's memory. A body that ends short
 /// gives an error, and is never passed on.
+///
+/// # Errors
+/// How to refuse the request, or `CLIENT_LEFT`.
 pub fn read(
     connection: &mut Connection,
     length: Length,
@@ -56,7 +63,9 @@
 
 /// The client closed its side or the connection broke: nobody is there to hear a refusal.
 pub const CLIENT_LEFT: Reject = Reject { status: 0, why: "the client left" };
+/// The body is over the bound of its route.
 pub const TOO_LARGE: Reject = Reject { status: 413, why: "the body is too large" };
+/// The node has no memory left for the body.
 pub const FULL: Reject = Reject { status: 503, why: "this node is full" };
 const BAD_CHUNK: Reject = Reject { status: 400, why: "a chunk is malformed" };
 
--- a/crates/downstream/src/connection.rs
+++ b/crates/downstream/src/connection.rs
@@ -1,3 +1,5 @@
+//! One connection of a caller: its requests in, its responses out.
+
 use crate::body::CLIENT_LEFT;
 use crate::client_watch::ClientWatch;
 use crate::head::{self, Head, Reject, passed_on};
@@ -19,8 +21,11 @@
 /// How much and how long a client may take.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience {
+    /// The largest head.
     pub head_bytes: usize,
+    /// From a head's first byte to its last.
     pub head_wait_ms: u64,
+    /// Between two requests.
     pub idle_ms: u64,
 }
 
@@ -30,15 +35,23 @@
     }
 }
 
+/// What comes next on a connection.
 pub enum Next {
+    /// A request, whose body is not read yet.
     Head(Head),
+    /// Something that is no request; the connection can't go on.
     Reject(Reject),
+    /// Nothing more: either side ended it.
     Closed,
 }
 
 const SLOW: Reject = Reject { status: 408, why: "the request did not come in time" };
 
 impl Connection {
+    /// Takes a connection as it was accepted.
+    ///
+    /// # Errors
+    /// The socket takes no options, or is closed already.
     pub fn new(stream: TcpStream) -> std::io::Result<Self> {
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_millis(LOOK_UP_MS)))?;
@@ -82,14 +95,17 @@
         }
     }
 
+    /// The caller's address.
     pub fn client(&self) -> IpAddr {
         self.client
     }
 
+    /// What was read and not consumed yet.
     pub fn buffered(&self) -> &[u8] {
         &self.buffer[self.start..]
     }
 
+    /// Drops so many bytes of what was read.
     pub fn consume(&mut self, length: usize) {
         self.start += length;
         if self.start == self.buffer.len() {
@@ -117,6 +133,10 @@
         }
     }
 
+    /// Reads at least one byte more, until a moment of the boot-time clock.
+    ///
+    /// # Errors
+    /// It is too late, or the client left.
     pub fn more(&mut self, deadline_ms: u64) -> Result<(), Reject> {
         loop {
             if clock_ms() >= deadline_ms {
@@ -130,6 +150,10 @@
         }
     }
 
+    /// Reads exactly so many bytes.
+    ///
+    /// # Errors
+    /// It is too late, or the client left.
     pub fn take(
         &mut self,
         length: usize,
@@ -154,11 +178,18 @@
         ClientWatch::new(&self.stream)
     }
 
+    /// Tells a client that waits for it to send its body.
+    ///
+    /// # Errors
+    /// The client left.
     pub fn go_on(&mut self) -> std::io::Result<()> {
         self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
     }
 
     /// Writes a whole response; its length is always told, so a cut one never looks whole.
+    ///
+    /// # Errors
+    /// The client left, or takes its response too slowly.
     pub fn write(
         &mut self,
         response: &TargetResponse,
--- a/crates/downstream/src/head.rs
+++ b/crates/downstream/src/head.rs
@@ -1,26 +1,41 @@
+//! Heads of requests.
+
 use postbarrow_constants::traffic::HEADERS;
 
+/// How the end of a request's body is known.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Length {
+    /// There is none.
     None,
+    /// By its number of bytes.
     Sized(u64),
+    /// By an empty chunk.
     Chunked,
 }
 
+/// The head of one request.
 #[derive(Clone, Debug)]
 pub struct Head {
+    /// As it came, in any case.
     pub method: String,
     /// Path and query as they came.
     pub target: String,
+    /// Names and values in their order.
     pub headers: Vec<(String, String)>,
+    /// How its body ends.
     pub length: Length,
+    /// The connection is not used after it.
     pub close: bool,
+    /// The client waits to be told before it sends its body.
     pub waits: bool,
 }
 
+/// Why a request is turned away before it is understood.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Reject {
+    /// The status to answer with.
     pub status: u16,
+    /// For the client to read.
     pub why: &'static str,
 }
 
@@ -29,12 +44,15 @@
 }
 
 impl Head {
+    /// The target up to its query.
     pub fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or("")
     }
+    /// What follows the first question mark.
     pub fn query(&self) -> &str {
         self.target.split_once('?').map_or("", |(_, query)| query)
     }
+    /// The first value of a header, whose name counts in any case.
     pub fn header(&self, name: &str) -> Option<&str> {
         values(&self.headers, name).next()
     }
@@ -49,6 +67,9 @@
 }
 
 /// Parses a head if it is whole; the second value is its length in bytes.
+///
+/// # Errors
+/// Bytes that are no sound head, or that two readers could read two ways.
 pub fn parse(bytes: &[u8]) -> Result<Option<(Head, usize)>, Reject> {
     let mut room = [httparse::EMPTY_HEADER; HEADERS];
     let mut parsed = httparse::Request::new(&mut room);
--- a/crates/downstream/src/memory.rs
+++ b/crates/downstream/src/memory.rs
@@ -1,3 +1,5 @@
+//! Bytes of bodies under one bound.
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 
@@ -7,16 +9,19 @@
     used_bytes: AtomicU64,
 }
 
+/// A part of that memory, given back when dropped.
 pub struct Reserved {
     memory: Arc<Memory>,
     size_bytes: u64,
 }
 
 impl Memory {
+    /// Memory of so many bytes.
     pub fn new(most_bytes: u64) -> Arc<Self> {
         Arc::new(Memory { most_bytes, used_bytes: AtomicU64::new(0) })
     }
 
+    /// Takes a part, if it is free.
     pub fn reserve(self: &Arc<Self>, size_bytes: u64) -> Option<Reserved> {
         let mut reserved = Reserved { memory: self.clone(), size_bytes: 0 };
         reserved.grow(size_bytes).then_some(reserved)
@@ -24,6 +29,7 @@
 }
 
 impl Reserved {
+    /// Takes more for it, if that is free.
     pub fn grow(&mut self, size_bytes: u64) -> bool {
         let most = self.memory.most_bytes;
         let grown = self.memory.used_bytes.fetch_update(Relaxed, Relaxed, |used| {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,4 +1,5 @@
 #![doc = include_str!("../README.md")]
+#![deny(missing_docs)]
 
 mod clock;
 mod link;
--- a/programs/control-plane/src/client.rs
+++ b/programs/control-plane/src/client.rs
@@ -1,15 +1,24 @@
+//! The operator's commands, over HTTP.
+
 use std::time::Duration;
 use ureq::Agent;
 
 const WAIT_MS: u64 = 8_000;
 
+/// What a control node answered.
 pub struct Answer {
+    /// HTTP's.
     pub status: u16,
+    /// JSON, or a plan's text.
     pub body: String,
+    /// The product's own headers.
     pub about: Vec<(String, String)>,
 }
 
 /// The operator's questions over HTTP: the first control node that can be reached answers.
+///
+/// # Errors
+/// Why none could be reached, one after the other.
 pub fn ask(control: &[String], path: &str, plan: Option<Vec<u8>>) -> Result<Answer, String> {
     let config = Agent::config_builder()
         .http_status_as_error(false)
--- a/programs/control-plane/src/dialect.rs
+++ b/programs/control-plane/src/dialect.rs
@@ -16,6 +16,7 @@
     fn page(&self, bytes: &[u8]) -> Result<Listed, String>;
 }
 
+/// The product's own dialect.
 pub struct Own;
 
 impl Dialect for Own {
--- a/programs/control-plane/src/door.rs
+++ b/programs/control-plane/src/door.rs
@@ -34,7 +34,9 @@
 
 /// A request at the door, read whole.
 pub struct CallerRequest<'a> {
+    /// Its head.
     pub head: &'a Head,
+    /// Its whole body.
     pub body: &'a [u8],
     /// Asks the controller.
     pub asker: &'a Asker,
--- a/programs/control-plane/src/lib.rs
+++ b/programs/control-plane/src/lib.rs
@@ -1,5 +1,7 @@
 //! The control plane: one member of the replicated log, its disk, the list's walker, the operator's door.
 
+#![deny(missing_docs)]
+
 mod asker;
 pub mod client;
 mod core;
@@ -33,6 +35,7 @@
 pub use dialect::{Dialect, Own};
 pub use door::{CallerRequest, Callers, open_door};
 
+/// A running control node.
 pub struct ControlPlane {
     commands: Sender<Command>,
     address: SocketAddr,
@@ -41,11 +44,18 @@
 }
 
 impl ControlPlane {
+    /// Starts a node that speaks the product's own dialect.
+    ///
+    /// # Errors
+    /// A folder, address or thread is refused.
     pub fn start(startup: &Startup) -> io::Result<ControlPlane> {
         ControlPlane::speaking(startup, Arc::new(Own))
     }
 
     /// The same node for operators, applications and a list that speak another dialect.
+    ///
+    /// # Errors
+    /// A folder, address or thread is refused.
     pub fn speaking(startup: &Startup, dialect: Arc<dyn Dialect>) -> io::Result<ControlPlane> {
         let folder = startup.data.clone().ok_or(io::ErrorKind::InvalidInput)?;
         let (storage, recovered) = opening::open_folder(&folder, !startup.guest)?;
--- a/programs/data-plane/src/dialect.rs
+++ b/programs/data-plane/src/dialect.rs
@@ -1,3 +1,5 @@
+//! What a node's callers and targets speak.
+
 use crate::calls;
 use postbarrow_downstream::head::{Head, passed_on};
 use postbarrow_node::{TargetResponse, Verdict};
@@ -5,13 +7,16 @@
 /// The node's own calls, which are no requests for a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum OwnCall {
+    /// Whether this node is ready.
     Ready,
+    /// An application's call to the controller.
     Coordination,
 }
 
 /// What a target's response is worth, to who asked.
 #[derive(Debug, PartialEq)]
 pub enum Heard {
+    /// The target's own, whole response to this request.
     Whole,
     /// The target says that it did not run the request, nor will.
     NotRun(String),
@@ -25,6 +30,7 @@
 pub trait Named: Send + Sync {
     /// Headers for this target, with the milliseconds that are left.
     fn headers(&self, head: &Head, instance: &str, left_ms: u64) -> Vec<(String, String)>;
+    /// What a response on a connection is worth; `first`: none came on it before.
     fn heard(&self, head: &Head, response: &TargetResponse, first: bool) -> Heard;
     /// Requests at work and waiting there, if the response tells.
     fn occupancy(&self, response: &TargetResponse) -> Option<u64>;
@@ -32,6 +38,7 @@
 
 /// What callers and targets of this node speak. The product's own dialect is `Own`.
 pub trait Dialect: Send + Sync {
+    /// Which of the node's own calls this is, if any.
     fn own_call(&self, head: &Head) -> Option<OwnCall>;
     /// How long the client waits, if it says, in milliseconds.
     fn wait_ms(&self, head: &Head) -> Option<u64>;
@@ -45,6 +52,7 @@
     fn named(&self) -> Option<&dyn Named>;
 }
 
+/// The product's own dialect.
 pub struct Own;
 
 impl Dialect for Own {
--- a/programs/data-plane/src/lib.rs
+++ b/programs/data-plane/src/lib.rs
@@ -1,5 +1,7 @@
 //! The data plane: takes requests, finds their route, passes each to a proved target.
 
+#![deny(missing_docs)]
+
 mod answer;
 mod calls;
 mod core;
@@ -41,11 +43,18 @@
 }
 
 impl DataPlane {
+    /// Starts a node that speaks the product's own dialect.
+    ///
+    /// # Errors
+    /// An address can't be bound, or a thread not started.
     pub fn start(startup: &Startup) -> io::Result<DataPlane> {
         DataPlane::speaking(startup, Arc::new(Own))
     }
 
     /// The same node for callers and targets that speak another dialect.
+    ///
+    /// # Errors
+    /// An address can't be bound, or a thread not started.
     pub fn speaking(startup: &Startup, dialect: Arc<dyn Dialect>) -> io::Result<DataPlane> {
         let (links, address) = startup.listen()?;
         let http = TcpListener::bind(startup.http)?;
@@ -84,10 +93,12 @@
         self.shared.command(Command::Seeds(seeds));
     }
 
+    /// Whether clients may be sent here.
     pub fn is_ready(&self) -> bool {
         self.shared.is_ready()
     }
 
+    /// Where callers reach it.
     pub fn http(&self) -> SocketAddr {
         self.shared.own.http
     }
