Give the end of a ticket a type, and document the node crate

Cause: a tuple of ticket, settlement and response went from the flow to three places that each made the same question of it. Settling holds them and becomes that question. The node crate's 101 public items without a doc comment have one, and missing_docs is denied there.

--- a/crates/node/src/flow.rs
+++ b/crates/node/src/flow.rs
@@ -1,12 +1,12 @@
 //! The flow of one request, without I/O.
 
-use crate::step::{Event, Now, Passed, RequestContext, Step};
+use crate::step::{Event, Now, Passed, RequestContext, Settling, Step};
 use crate::verdict::{About, Told, Verdict};
 use postbarrow_constants::coordination::TICKET_USE_MS;
 use postbarrow_constants::traffic::{ATTEMPTS, TICKETED_ATTEMPTS};
 use postbarrow_messages::Response;
 use postbarrow_routing::{Entry, Load, mix};
-use postbarrow_state::{Kind, Name, Settlement, Target, Ticket};
+use postbarrow_state::{Kept, Kind, Name, Settlement, Target, Ticket};
 use std::fmt;
 use std::sync::Arc;
 
@@ -27,6 +27,7 @@
 }
 
 impl RequestFlow {
+    /// A request that has found its route.
     pub fn new(context: RequestContext, entry: Arc<Entry>) -> Self {
         RequestFlow {
             context,
@@ -42,6 +43,7 @@
         }
     }
 
+    /// What to do next, after this event.
     pub fn handle(&mut self, now: &Now<'_>, event: Event) -> Step {
         match event {
             Event::Start => {
@@ -185,25 +187,33 @@
                 self.end(Told::NoTicket(why))
             }
             _ => {
-                let settle = self.ticket.take().map(|ticket| (ticket, Settlement::Unsent, None));
+                let settling = self.settle(Settlement::Unsent, None);
                 let verdict = self.verdict(Told::TicketUnknown);
-                Step::Done { verdict, settle }
+                Step::Done { verdict, settling }
             }
         }
     }
 
+    /// The end of the ticket, if there is one; it is not this flow's any more.
+    fn settle(&mut self, settlement: Settlement, response: Option<Kept>) -> Option<Settling> {
+        let ticket = self.ticket.take()?;
+        Some(Settling { ticket, settlement, response })
+    }
+
     /// No target ran it. Another attempt may follow once its ticket, if it has one, is settled; nobody
     /// waits for that where the client has left.
     fn settle_unsent(&mut self, now: &Now<'_>) -> Step {
         if now.client_left {
-            let settle = self.ticket.take().map(|ticket| (ticket, Settlement::Unsent, None));
-            return Step::Done { verdict: self.verdict(Told::ClientLeft), settle };
+            let settling = self.settle(Settlement::Unsent, None);
+            return Step::Done { verdict: self.verdict(Told::ClientLeft), settling };
         }
         match &self.ticket {
             Some(ticket) => Step::Settle {
-                ticket: ticket.clone(),
-                settlement: Settlement::Unsent,
-                response: None,
+                settling: Settling {
+                    ticket: ticket.clone(),
+                    settlement: Settlement::Unsent,
+                    response: None,
+                },
                 wait_ms: self.left_ms(now).clamp(1, TICKET_USE_MS),
             },
             None => self.retry(now),
@@ -217,8 +227,8 @@
                     load.recovered();
                 }
                 let kept = response.kept();
-                let settle = self.ticket.take().map(|ticket| (ticket, Settlement::Ran, kept));
-                Step::Done { verdict: self.verdict(Told::Whole(response)), settle }
+                let settling = self.settle(Settlement::Ran, kept);
+                Step::Done { verdict: self.verdict(Told::Whole(response)), settling }
             }
             Passed::NotRun(why) => {
                 if let Some(load) = &self.load {
@@ -242,9 +252,9 @@
                     self.why = why;
                     return self.retry(now);
                 }
-                let settle = self.ticket.take().map(|ticket| (ticket, Settlement::Unknown, None));
+                let settling = self.settle(Settlement::Unknown, None);
                 let told = if late { Told::TargetLate(why) } else { Told::TargetFailed(why) };
-                Step::Done { verdict: self.verdict(told), settle }
+                Step::Done { verdict: self.verdict(told), settling }
             }
         }
     }
@@ -256,7 +266,7 @@
             Told::Unready if self.sent => Told::GaveUp("this node is not ready".into()),
             told => told,
         };
-        Step::Done { verdict: self.verdict(told), settle: None }
+        Step::Done { verdict: self.verdict(told), settling: None }
     }
 
     fn verdict(&self, told: Told) -> Verdict {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,7 @@
 //! A data-plane node without I/O: freshness and hold, the relay tree, and the flow of one request.
 
+#![deny(missing_docs)]
+
 mod flow;
 mod fresh;
 mod news;
@@ -7,7 +9,7 @@
 mod verdict;
 
 pub use flow::RequestFlow;
-pub use step::{Event, Now, Passed, RequestContext, Step, TargetResponse};
+pub use step::{Event, Now, Passed, RequestContext, Settling, Step, TargetResponse};
 pub use verdict::{About, KEY, OUTCOME, REPLAYED, Told, Verdict};
 
 use fresh::FreshBook;
@@ -22,53 +24,79 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// What happens to a node.
 pub enum Input {
+    /// Time passes: every `TICK_MS`.
     Tick,
+    /// A message of another process.
     Receive(Envelope),
+    /// A question to the controller.
     Request {
+        /// For its answer; none comes twice.
         key: u64,
+        /// What is asked.
         request: Request,
+        /// It is sent again for so long.
         wait_ms: u64,
     },
     /// Nobody waits for the answer to this question any more: it is not sent again.
     Withdraw {
+        /// Of the question.
         key: u64,
     },
+    /// A probe of a target ended.
     Probed {
+        /// Which one.
         instance: Name,
+        /// It proved itself.
         sound: bool,
     },
     /// Some of the requests that came, and how many came.
     Saw {
+        /// A few of them.
         samples: Vec<Sample>,
+        /// All of them.
         seen: u64,
     },
     /// Other addresses that introduce this node.
     Seeds(Vec<SocketAddr>),
+    /// This process is asked to stop: the node is unready from now on.
     Stop,
 }
 
+/// What a node wants done.
 pub enum Effect {
+    /// A message goes out.
     Send {
+        /// To this process.
         to: SocketAddr,
+        /// It may be lost.
         message: Message,
     },
+    /// A question has its end.
     Answer {
+        /// Of the question.
         key: u64,
+        /// The controller's, or what is concluded.
         response: postbarrow_messages::Response,
     },
     /// A whole image to swap in.
     Publish {
+        /// All of it.
         state: Arc<State>,
+        /// Up to where in the log.
         offset: u64,
     },
     /// The node may serve until then, on its own clock, and no longer.
     Lease {
+        /// On the boot-time clock.
         until_ms: u64,
     },
+    /// A line for the log.
     Say(String),
 }
 
+/// A node of the data plane: freshness and lease, news of the image, questions to the controller.
 pub struct DataNode {
     own: Node,
     seeds: Vec<SocketAddr>,
@@ -93,6 +121,7 @@
 }
 
 impl DataNode {
+    /// A node that knows nothing but who may introduce it.
     pub fn new(own: Node, seeds: Vec<SocketAddr>, now_ms: u64) -> Self {
         let fresh = FreshBook::new(now_ms, own.incarnation);
         DataNode {
@@ -125,6 +154,7 @@
         self
     }
 
+    /// What an input leads to.
     pub fn handle(&mut self, now_ms: u64, input: Input) -> Vec<Effect> {
         match input {
             Input::Tick => self.tick(now_ms),
@@ -229,21 +259,27 @@
         self.effects.push(Effect::Send { to, message });
     }
 
+    /// Until when it may serve, on its own clock.
     pub fn lease_until(&self) -> u64 {
         self.fresh.lease_until(self.published)
     }
+    /// Whether clients may be sent here.
     pub fn is_ready(&self, now_ms: u64) -> bool {
         !self.stopping && now_ms < self.lease_until() && self.tail.image().plan.is_some()
     }
+    /// Up to where in the log its image reaches.
     pub fn published(&self) -> u64 {
         self.published
     }
+    /// The newest image.
     pub fn image(&self) -> &Arc<State> {
         self.tail.image()
     }
+    /// Who this is.
     pub fn own(&self) -> &Node {
         &self.own
     }
+    /// Questions to the controller without an end.
     pub fn open_questions(&self) -> usize {
         self.controller_client.open()
     }
--- a/crates/node/src/step.rs
+++ b/crates/node/src/step.rs
@@ -1,6 +1,8 @@
+//! What the flow of a request and its driver tell each other.
+
 use crate::verdict::Verdict;
 use postbarrow_constants::coordination::KEPT_RESPONSE_BYTES;
-use postbarrow_messages::Response;
+use postbarrow_messages::{Request, Response};
 use postbarrow_routing::{Load, Table};
 use postbarrow_state::{Digest, Incarnation, Kept, Name, Settlement, Target, Ticket};
 use std::sync::Arc;
@@ -8,22 +10,32 @@
 /// What one request is, beyond its bytes.
 #[derive(Clone)]
 pub struct RequestContext {
+    /// The ticket's key: the client's, or made up here.
     pub key: Name,
+    /// The client brought its key.
     pub keyed: bool,
+    /// What makes two requests under one key the same.
     pub digest: Digest,
+    /// This life of this node.
     pub node: Incarnation,
+    /// Targets of this zone are nearer.
     pub zone: Name,
     /// One-time requests get a ticket from the log; else this life's own, under its lease.
     pub logged: bool,
     /// When its client has no more use for a response.
     pub until_ms: u64,
+    /// Draws its targets.
     pub seed: u64,
 }
 
+/// A whole response, of a target or of this node.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetResponse {
+    /// HTTP's.
     pub status: u16,
+    /// Names and values in their order.
     pub headers: Vec<(String, String)>,
+    /// Without the framing of chunks.
     pub body: Vec<u8>,
 }
 
@@ -36,59 +48,104 @@
     }
 }
 
+/// What became of a request on its connection.
 #[derive(Debug)]
 pub enum Passed {
+    /// The target's own, whole response.
     Whole(TargetResponse),
     /// Provably not a byte reached the target.
     Unsent(String),
     /// The target itself says that it did not run the request, nor will.
     NotRun(String),
+    /// It may have run.
     Unknown {
+        /// Its time was over.
         late: bool,
+        /// What was seen.
         why: String,
     },
 }
 
+/// What the driver tells the flow.
 pub enum Event {
+    /// The request is there.
     Start,
+    /// The connection stands, with a target that is the one it should be.
     Connected,
+    /// There is none, and why.
     Unconnected(String),
+    /// The controller's answer to the last question.
     Answered(Response),
+    /// The end of the last pass.
     Passed(Passed),
 }
 
+/// The end of a ticket, for the log.
+#[derive(Clone, Debug)]
+pub struct Settling {
+    /// Whose end it is.
+    pub ticket: Ticket,
+    /// How its request ended.
+    pub settlement: Settlement,
+    /// What a repeat under its key is answered with.
+    pub response: Option<Kept>,
+}
+
+impl From<Settling> for Request {
+    fn from(settling: Settling) -> Request {
+        let Settling { ticket, settlement, response } = settling;
+        Request::Settle { ticket, settlement, response }
+    }
+}
+
 /// What the driver does next; each but Done is answered by one event.
 pub enum Step {
+    /// Opens a connection to this target, or takes one that rests.
     Connect {
+        /// Which one.
         target: Arc<Target>,
+        /// What is known of its load.
         load: Arc<Load>,
+        /// The request's time.
         wait_ms: u64,
     },
+    /// Asks the controller for a ticket.
     AskTicket {
+        /// As it is to stand in the log.
         ticket: Ticket,
+        /// For so long.
         wait_ms: u64,
     },
     /// Its first byte goes out before `until_ms`, within the lease, or none does.
     Pass {
+        /// For its whole response.
         wait_ms: u64,
+        /// On the boot-time clock.
         until_ms: u64,
     },
+    /// Has a ticket settled before anything else.
     Settle {
-        ticket: Ticket,
-        settlement: Settlement,
-        response: Option<Kept>,
+        /// Its end.
+        settling: Settling,
+        /// For so long.
         wait_ms: u64,
     },
+    /// The request has its end.
     Done {
+        /// For the client.
         verdict: Verdict,
-        settle: Option<(Ticket, Settlement, Option<Kept>)>,
+        /// For the log; told until it is taken, waited for by nobody.
+        settling: Option<Settling>,
     },
 }
 
 /// What the driver knows at the moment of an event.
 pub struct Now<'a> {
+    /// On the boot-time clock.
     pub now_ms: u64,
+    /// The image in force.
     pub table: &'a Table,
+    /// The node holds its lease.
     pub serves: bool,
     /// A number this node never gave before.
     pub number: u64,
--- a/crates/node/src/verdict.rs
+++ b/crates/node/src/verdict.rs
@@ -1,3 +1,5 @@
+//! How requests end, and how that is told over HTTP.
+
 use crate::TargetResponse;
 use facet::Facet;
 use postbarrow_constants::traffic::RETRY_AFTER_S;
@@ -6,31 +8,50 @@
 /// How a request ended, before it is put into HTTP.
 #[derive(Debug)]
 pub enum Told {
+    /// The target's own, whole response.
     Whole(TargetResponse),
+    /// Its key is known: what became of it.
     Known(Box<Ticket>),
+    /// Its key belongs to another request.
     OtherDigest,
+    /// No route takes its path.
     NoRoute,
+    /// The route takes only these methods.
     OtherMethods(Vec<Name>),
+    /// The route takes at most so many bytes.
     BodyTooLarge(u64),
+    /// Over the route's requests a second.
     OverRate,
+    /// Over the route's requests at once.
     OverConcurrency,
+    /// The node is full.
     Overloaded,
+    /// The node holds no lease, or has no plan.
     Unready,
+    /// No target is left to try, and what the last one did.
     NoTarget(String),
+    /// No further attempt is allowed, and what the last target did.
     GaveUp(String),
+    /// The log gives it no ticket, and why.
     NoTicket(String),
+    /// Its time was over before it went out.
     Late,
     /// The client left before an end that it could be told.
     ClientLeft,
     /// No word on the ticket: it may yet be granted, though it will not be used.
     TicketUnknown,
+    /// The target gave no whole response, and what it gave.
     TargetFailed(String),
+    /// The target did not respond in time.
     TargetLate(String),
 }
 
+/// How a request ended, and how sure that is.
 #[derive(Debug)]
 pub struct Verdict {
+    /// Its end.
     pub told: Told,
+    /// What can be promised of it.
     pub about: About,
     /// The key that was made up for a request without one.
     pub key: Option<Name>,
@@ -39,7 +60,9 @@
 /// What decides how sure a node can be that a request did not run.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct About {
+    /// It may run at most once.
     pub one_time: bool,
+    /// Its client brought a key.
     pub keyed: bool,
     /// The log granted this request a ticket, so nothing ran under its key before.
     pub proved: bool,
@@ -55,12 +78,15 @@
     detail: Option<String>,
 }
 
+/// Whether it ran: ran, not-run, unknown or pending.
 pub const OUTCOME: &str = "Postbarrow-Outcome";
 /// Under which key a repeat of this request is safe.
 pub const KEY: &str = "Postbarrow-Key";
+/// The response is one that was kept with the ticket.
 pub const REPLAYED: &str = "Postbarrow-Replayed";
 
 impl Verdict {
+    /// The response for its client, in the product's own dialect.
     pub fn into_response(self) -> TargetResponse {
         let about = self.about;
         let (status, outcome, error, detail) = match self.told {
--- a/crates/simulation/src/requests.rs
+++ b/crates/simulation/src/requests.rs
@@ -197,18 +197,17 @@
             Step::AskTicket { ticket, wait_ms } => {
                 self.ask_for(request, data, Request::Ticket(ticket), wait_ms);
             }
-            Step::Settle { ticket, settlement, response, wait_ms } => {
-                let settle = Request::Settle { ticket, settlement, response };
-                self.ask_for(request, data, settle, wait_ms);
+            Step::Settle { settling, wait_ms } => {
+                self.ask_for(request, data, settling.into(), wait_ms);
             }
             Step::Pass { until_ms, .. } => {
                 run.awaits = Awaits::Sending;
                 let life = self.data[data].life;
                 self.after(20, Event::Send { request, data, life, until_ms });
             }
-            Step::Done { verdict, settle } => {
-                if let Some((ticket, settlement, response)) = settle {
-                    let settle = Request::Settle { ticket, settlement, response };
+            Step::Done { verdict, settling } => {
+                if let Some(settling) = settling {
+                    let settle = settling.into();
                     self.send_to_controller(data, settle, SETTLE_WAIT_MS, Waits::Nobody);
                 }
                 self.end_request(request, verdict);
--- a/crates/simulation/src/search/request_flow.rs
+++ b/crates/simulation/src/search/request_flow.rs
@@ -167,8 +167,8 @@
 fn ticket_after(ticket: TicketEnd, fed: Fed, step: &Step) -> TicketEnd {
     match step {
         Step::AskTicket { .. } => TicketEnd::Open,
-        Step::Done { settle: Some((_, settlement, _)), .. } => {
-            TicketEnd::Settled(match settlement {
+        Step::Done { settling: Some(settling), .. } => {
+            TicketEnd::Settled(match settling.settlement {
                 Settlement::Ran => Settled::Ran,
                 Settlement::Unsent => Settled::Unsent,
                 Settlement::Unknown => Settled::Unknown,
--- a/programs/data-plane/src/forward.rs
+++ b/programs/data-plane/src/forward.rs
@@ -58,14 +58,12 @@
                 Event::Answered(shared.request(request, wait_ms, incoming.client))
             }
             Step::Pass { wait_ms, until_ms } => Event::Passed(work.pass(wait_ms, until_ms)),
-            Step::Settle { ticket, settlement, response, wait_ms } => {
-                let request = Request::Settle { ticket, settlement, response };
-                Event::Answered(shared.request(request, wait_ms, incoming.client))
+            Step::Settle { settling, wait_ms } => {
+                Event::Answered(shared.request(settling.into(), wait_ms, incoming.client))
             }
-            Step::Done { verdict, settle } => {
-                if let Some((ticket, settlement, response)) = settle {
-                    let request = Request::Settle { ticket, settlement, response };
-                    shared.tell(request, SETTLE_WAIT_MS);
+            Step::Done { verdict, settling } => {
+                if let Some(settling) = settling {
+                    shared.tell(settling.into(), SETTLE_WAIT_MS);
                 }
                 return match verdict.told {
                     Told::ClientLeft => Forwarded::ClientLeft,
