Break off a half-sent one-time request that nobody can come back for

With the client's key that is wanted, for a repeat gets the answer; without one nobody can ever ask for it. Ruled out: repeatable requests (watched to their response); a request that is sent whole (its target may be running it, and broken off it would be run in vain). Change: EndsWithClient says for how long a request ends with its client: always, until it is sent, or never. What the system still holds of a broken-off one is taken back with a reset. Its ticket, if the log has one, is settled unknown, and its target does not count as failed. Before: a_one_time_request_that_nobody_can_come_back_for_is_sent_no_further fails (one request stays at work). Conclusion: what goes out for a client that left is what a key can still fetch.

--- a/crates/node/src/flow.rs
+++ b/crates/node/src/flow.rs
@@ -241,9 +241,10 @@
                 self.why = why;
                 self.settle_unsent(now)
             }
-            Passed::Unknown { .. } if now.client_left && !self.is_one_time() => {
+            Passed::Unknown { .. } if now.client_left => {
                 self.sent = true;
-                self.end(Told::ClientLeft)
+                let settling = self.settle(Settlement::Unknown, None);
+                Step::Done { verdict: self.verdict(Told::ClientLeft), settling }
             }
             Passed::Unknown { late, why } => {
                 self.load_failed(now);
--- a/programs/data-plane/src/forward.rs
+++ b/programs/data-plane/src/forward.rs
@@ -3,7 +3,7 @@
 use crate::dialect::{Dialect, Heard, on_to_target};
 use crate::downstream::head::Head;
 use crate::share::Shared;
-use crate::target_connection::{Outgoing, TargetConnection, Terms};
+use crate::target_connection::{EndsWithClient, Outgoing, TargetConnection, Terms};
 use postbarrow_constants::coordination::{SETTLE_WAIT_MS, TICKET_KEY_BYTES};
 use postbarrow_constants::traffic::PROOF_WAIT_MS;
 use postbarrow_downstream::client_watch::ClientWatch;
@@ -177,10 +177,10 @@
             until_ms: clock_ms() + wait_ms.max(1),
             repeatable: self.repeatable,
         };
-        let unwatched = ClientWatch::nobody();
         let terms = Terms {
             may_send: &|| self.may_send(&target.instance, until_ms),
-            client: if self.repeatable { self.incoming.client } else { &unwatched },
+            client: self.incoming.client,
+            ends_with_client: self.ends_with_client(),
             judge: &|response, first| match dialect.named() {
                 Some(named) => named.heard(head, response, first),
                 None => Heard::Whole,
@@ -200,6 +200,15 @@
         passed
     }
 
+    fn ends_with_client(&self) -> EndsWithClient {
+        let keyed = self.shared.dialect.key(self.incoming.head).is_some();
+        match (self.repeatable, keyed) {
+            (true, _) => EndsWithClient::Always,
+            (false, true) => EndsWithClient::Never,
+            (false, false) => EndsWithClient::UntilSent,
+        }
+    }
+
     /// Looked at right before the first byte: the client still waits, and hold, target and ticket
     /// still stand.
     fn may_send(&self, instance: &Name, until_ms: u64) -> bool {
--- a/programs/data-plane/src/target_connection.rs
+++ b/programs/data-plane/src/target_connection.rs
@@ -10,8 +10,10 @@
 use postbarrow_downstream::memory::Reserved;
 use postbarrow_node::{Passed, TargetResponse};
 use postbarrow_transport::{Interest, clock_ms, give_up_unheard};
+use socket2::SockRef;
 use std::io::{ErrorKind, Write};
 use std::net::TcpStream;
+use std::time::Duration;
 
 /// A connection to a target. It is read byte by byte, so that bytes that are no part of the
 /// response are seen, and every wait on it ends when the client of its request leaves.
@@ -43,12 +45,24 @@
     pub repeatable: bool,
 }
 
+/// For how long a request ends with its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndsWithClient {
+    /// To its response: it may be repeated.
+    Always,
+    /// Until its last byte is sent: its target may be running it from then on.
+    UntilSent,
+    /// Never: a repeat under its key gets what comes of it.
+    Never,
+}
+
 /// Who may end the passing of a request, and how its response is judged.
 pub struct Terms<'a> {
     /// Asked once, right before the first byte.
     pub may_send: &'a dyn Fn() -> bool,
-    /// Whose leaving ends the work.
+    /// Whose leaving ends the work, for as long as `ends_with_client` says.
     pub client: &'a ClientWatch<'a>,
+    pub ends_with_client: EndsWithClient,
     /// What a response is worth; the second value says whether it is the connection's first.
     pub judge: &'a dyn Fn(&TargetResponse, bool) -> Heard,
 }
@@ -93,7 +107,15 @@
         if !(terms.may_send)() {
             return (Passed::Unsent("no longer allowed".into()), false);
         }
-        if let Err((sent, interrupted)) = self.write(&bytes, request.until_ms, terms.client) {
+        let nobody = ClientWatch::nobody();
+        let client = match terms.ends_with_client {
+            EndsWithClient::Never => &nobody,
+            EndsWithClient::Always | EndsWithClient::UntilSent => terms.client,
+        };
+        if let Err((sent, interrupted)) = self.write(&bytes, request.until_ms, client) {
+            if matches!(interrupted, Interrupted::ClientLeft) {
+                self.take_back_unsent();
+            }
             let why = interrupted.why("sending");
             let passed = match sent {
                 0 => Passed::Unsent(why),
@@ -112,8 +134,13 @@
         terms: &Terms<'_>,
         memory: &mut Reserved,
     ) -> (Passed, bool) {
+        let nobody = ClientWatch::nobody();
+        let client = match terms.ends_with_client {
+            EndsWithClient::Always => terms.client,
+            EndsWithClient::UntilSent | EndsWithClient::Never => &nobody,
+        };
         loop {
-            let read = self.read(request, terms.client, memory);
+            let read = self.read(request, client, memory);
             let (response, keeps_open) = match read {
                 Ok(read) => read,
                 Err(interrupted) => {
@@ -143,6 +170,11 @@
         self.start = 0;
     }
 
+    /// What the system still holds of a request goes out no more: the connection ends with a reset.
+    fn take_back_unsent(&self) {
+        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+    }
+
     fn be_patient(&mut self, repeatable: bool) {
         let unheard_ms = if repeatable { TARGET_UNHEARD_MS } else { 0 };
         if unheard_ms != self.unheard_ms {
--- a/programs/data-plane/src/target_connection/proving.rs
+++ b/programs/data-plane/src/target_connection/proving.rs
@@ -1,6 +1,6 @@
 //! A target's proof of who it is, on a connection of its own.
 
-use super::{Outgoing, TargetConnection, Terms};
+use super::{EndsWithClient, Outgoing, TargetConnection, Terms};
 use crate::dialect::Heard;
 use crate::proof::read_proof;
 use postbarrow_constants::traffic::{HEAD_BYTES, PROOF_PATH};
@@ -30,7 +30,12 @@
             until_ms,
             repeatable: true,
         };
-        let terms = Terms { may_send: &|| true, client, judge: &|_, _| Heard::Whole };
+        let terms = Terms {
+            may_send: &|| true,
+            client,
+            ends_with_client: EndsWithClient::Always,
+            judge: &|_, _| Heard::Whole,
+        };
         let space = Memory::new(HEAD_BYTES as u64);
         let mut memory = space.reserve(0).ok_or("no space for a proof")?;
         match self.exchange(&request, &terms, &mut memory) {
--- a/programs/data-plane/src/tests/client_left/promised.rs
+++ b/programs/data-plane/src/tests/client_left/promised.rs
@@ -72,6 +72,36 @@
     }
 }
 
+/// A large one-time request whose client leaves while a target that does not read has its beginning.
+fn left_amid_its_sending(key: &str) -> (UnreadingTarget, Rig) {
+    let unreading = UnreadingTarget::start("s-1", "s");
+    let rig = Rig::new(Vec::new(), yes);
+    rig.publish_with(vec![target("s-1", "s", unreading.address)], LONG_MS);
+    let head =
+        format!("POST /large/1 HTTP/1.1\r\nHost: h\r\n{key}Content-Length: {LARGE_BYTES}\r\n\r\n");
+    let mut stream = client(&rig, head.as_bytes());
+    stream.write_all(&vec![7; LARGE_BYTES as usize]).unwrap();
+    hears(&unreading.began, "the target never got its beginning");
+    leave(stream, Leave::Close);
+    (unreading, rig)
+}
+
+#[test]
+fn a_one_time_request_that_nobody_can_come_back_for_is_sent_no_further() {
+    let (unreading, rig) = left_amid_its_sending("");
+    holds_nothing(&rig);
+    assert_eq!(rig.settled(), [Settlement::Unknown], "its target may have begun");
+    assert_eq!(unreading.reads_on(), None, "what was on its way is taken back");
+}
+
+#[test]
+fn a_one_time_request_with_its_clients_key_is_sent_to_its_end() {
+    let (unreading, rig) = left_amid_its_sending("Idempotency-Key: k\r\n");
+    assert_eq!(unreading.reads_on(), Some(LARGE_BYTES as usize));
+    rests(&rig);
+    assert_eq!(rig.settled(), [Settlement::Ran], "a repeat under its key gets the answer");
+}
+
 #[test]
 fn a_one_time_request_that_was_turned_away_goes_nowhere_else_without_its_client() {
     let (ends, cue) = moment();
--- a/programs/data-plane/src/tests/promises.rs
+++ b/programs/data-plane/src/tests/promises.rs
@@ -1,6 +1,6 @@
 use super::rig::*;
 use crate::dialect::Heard;
-use crate::target_connection::{Outgoing, TargetConnection, Terms};
+use crate::target_connection::{EndsWithClient, Outgoing, TargetConnection, Terms};
 use postbarrow_downstream::client_watch::ClientWatch;
 use postbarrow_downstream::memory::{Memory, Reserved};
 use postbarrow_messages::{Request, Response};
@@ -78,7 +78,12 @@
         until_ms,
         repeatable: false,
     };
-    let terms = Terms { may_send, client: &nobody, judge: &|_, _| Heard::Whole };
+    let terms = Terms {
+        may_send,
+        client: &nobody,
+        ends_with_client: EndsWithClient::Never,
+        judge: &|_, _| Heard::Whole,
+    };
     let (passed, back) = connection.pass(&request, &terms, &mut space());
     (passed, back.is_some())
 }
--- a/programs/data-plane/src/tests/rig.rs
+++ b/programs/data-plane/src/tests/rig.rs
@@ -119,6 +119,7 @@
         state.routes.push_back(Arc::new(route("/look/*", "GET", Kind::Lookup, "s")));
         state.routes.push_back(Arc::new(route("/post/*", "POST", Kind::OneTime, "s")));
         state.routes.push_back(Arc::new(route("/large/*", "PUT", Kind::Lookup, "s")));
+        state.routes.push_back(Arc::new(route("/large/*", "POST", Kind::OneTime, "s")));
         for target in targets {
             state.targets.insert(target.instance.clone(), Arc::new(target));
         }
--- a/programs/data-plane/src/tests/scripted.rs
+++ b/programs/data-plane/src/tests/scripted.rs
@@ -49,6 +49,51 @@
 /// What a target does instead of proving itself.
 pub type Unproved = Option<Watched>;
 
+/// A target that proves itself and reads no more than a little of a body until the test says so.
+pub struct UnreadingTarget {
+    pub address: SocketAddr,
+    /// Tells when a request's first bytes are there.
+    pub began: Receiver<()>,
+    read_on: Sender<()>,
+    got: Receiver<Option<usize>>,
+}
+
+impl UnreadingTarget {
+    pub fn start(instance: &'static str, service: &'static str) -> UnreadingTarget {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let ((begins, began), (read_on, may_read), (gets, got)) = (channel(), channel(), channel());
+        thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut buffer = Vec::new();
+            let (head, _) = read_request(&mut stream, &mut buffer).expect("its proof is asked for");
+            assert!(head.contains(PROOF_PATH), "{head}");
+            stream.write_all(whole(&proof(instance, service)).as_bytes()).unwrap();
+            let mut first = [0; 4];
+            stream.read_exact(&mut first).unwrap();
+            let _ = begins.send(());
+            let _ = may_read.recv();
+            buffer.extend_from_slice(&first);
+            let request = read_request(&mut stream, &mut buffer);
+            let _ = gets.send(request.map(|(_, body)| body.len()));
+            let _ = stream.write_all(whole("done").as_bytes());
+        });
+        UnreadingTarget { address, began, read_on, got }
+    }
+
+    /// Reads on; gives the bytes of the whole body, or none where the connection broke before.
+    pub fn reads_on(&self) -> Option<usize> {
+        self.read_on.send(()).unwrap();
+        self.got.recv().unwrap()
+    }
+}
+
+fn proof(instance: &str, service: &str) -> String {
+    format!(
+        "{{\"instance\":\"{instance}\",\"service\":\"{service}\",\"labels\":{{}},\"occupancy\":0}}"
+    )
+}
+
 pub fn sightings() -> (Sightings, Watched) {
     let ((began, begins), (ended, ends)) = (channel(), channel());
     (Sightings { began: begins, ended: ends }, Watched { began, ended })
@@ -192,10 +237,7 @@
             if let Some(watched) = &unproved {
                 return watched.hold(&mut stream);
             }
-            let proof = format!(
-                "{{\"instance\":\"{instance}\",\"service\":\"{service}\",\"labels\":{{}},\"occupancy\":0}}"
-            );
-            stream.write_all(whole(&proof).as_bytes()).unwrap();
+            stream.write_all(whole(&proof(instance, service)).as_bytes()).unwrap();
             continue;
         }
         let next = {
--- a/programs/data-plane/src/tests/silence.rs
+++ b/programs/data-plane/src/tests/silence.rs
@@ -3,7 +3,7 @@
 use super::named::{Words, get, response, two};
 use super::rig::*;
 use crate::Named;
-use crate::target_connection::{Outgoing, TargetConnection, Terms};
+use crate::target_connection::{EndsWithClient, Outgoing, TargetConnection, Terms};
 use postbarrow_downstream::client_watch::ClientWatch;
 use postbarrow_downstream::head::parse;
 use postbarrow_downstream::memory::Memory;
@@ -141,6 +141,7 @@
         let terms = Terms {
             may_send: &|| allowed,
             client: &nobody,
+            ends_with_client: EndsWithClient::Never,
             judge: &|response, first| Words.heard(&head, response, first),
         };
         let connection = TargetConnection::open(one.address, until_ms, &nobody).unwrap();
