--- a/crates/simulation/src/requests.rs
+++ b/crates/simulation/src/requests.rs
@@ -23,7 +23,7 @@
     /// The life of the node that took it, and when it must have answered at the latest.
     life: u64,
     answer_due_us: u64,
-    course: Option<Course>,
+    flow: Option<RequestFlow>,
     pub target: Option<(Arc<Target>, Arc<Load>)>,
     /// Who was at the other end when the connection was made, whoever that is.
     pub connected: Option<String>,
@@ -48,7 +48,7 @@
 
 impl RequestRun {
     pub fn is_at_work(&self, data: usize) -> bool {
-        self.data == data && self.course.is_some()
+        self.data == data && self.flow.is_some()
     }
 
     pub fn target_name(&self) -> Option<String> {
@@ -109,7 +109,7 @@
             data,
             life,
             answer_due_us: u64::MAX,
-            course: None,
+            flow: None,
             target: None,
             connected: None,
             client_left: false,
@@ -125,7 +125,7 @@
     pub fn overdue(&self) -> Vec<u64> {
         let overdue = |run: &&RequestRun| {
             let same_life = self.data[run.data].life == run.life;
-            same_life && run.course.is_some() && run.answer_due_us < self.now_us
+            same_life && run.flow.is_some() && run.answer_due_us < self.now_us
         };
         self.requests.values().filter(overdue).map(|run| run.id).collect()
     }
@@ -161,7 +161,7 @@
             true => format!("key-{id}"),
             false => format!("{}:{}", machine.incarnation, machine.number),
         };
-        let go = Go {
+        let context = RequestContext {
             key: Name::from(key),
             keyed,
             digest: [id as u8; 32],
@@ -173,7 +173,7 @@
         };
         if let Some(run) = self.requests.get_mut(&request) {
             run.answer_due_us = self.now_us + answer_bound_us(entry.route().deadline_ms);
-            run.course = Some(Course::new(go, entry));
+            run.flow = Some(RequestFlow::new(context, entry));
         }
         self.go_on(request, data, postbarrow_node::Event::Start);
     }
@@ -185,10 +185,10 @@
         let number = self.data[data].number;
         let table = self.data[data].table.clone();
         let Some(run) = self.requests.get_mut(&request) else { return };
-        let Some(course) = &mut run.course else { return };
+        let Some(flow) = &mut run.flow else { return };
         let client_left = run.saw_client_leave;
         let now = Now { now_ms, table: &table, serves, number, client_left };
-        match course.handle(&now, event) {
+        match flow.handle(&now, event) {
             Step::Connect { target, load, .. } => {
                 run.target = Some((target.clone(), load));
                 run.awaits = Awaits::Connection;
@@ -197,18 +197,17 @@
             Step::AskTicket { ticket, wait_ms } => {
                 self.ask_for(request, data, Request::Ticket(ticket), wait_ms);
             }
-            Step::Settle { ticket, settlement, response, wait_ms } => {
-                let settle = Request::Settle { ticket, settlement, response };
-                self.ask_for(request, data, settle, wait_ms);
+            Step::Settle { settling, wait_ms } => {
+                self.ask_for(request, data, settling.into(), wait_ms);
             }
             Step::Pass { until_ms, .. } => {
                 run.awaits = Awaits::Sending;
                 let life = self.data[data].life;
                 self.after(20, Event::Send { request, data, life, until_ms });
             }
-            Step::Done { verdict, settle } => {
-                if let Some((ticket, settlement, response)) = settle {
-                    let settle = Request::Settle { ticket, settlement, response };
+            Step::Done { verdict, settling } => {
+                if let Some(settling) = settling {
+                    let settle = settling.into();
                     self.send_to_controller(data, settle, SETTLE_WAIT_MS, Waits::Nobody);
                 }
                 self.end_request(request, verdict);
@@ -227,7 +226,7 @@
 
     fn end_request(&mut self, request: u64, verdict: Verdict) {
         let Some(run) = self.requests.get_mut(&request) else { return };
-        run.course = None;
+        run.flow = None;
         if run.client_left {
             return;
         }
--- a/programs/data-plane/src/forward.rs
+++ b/programs/data-plane/src/forward.rs
@@ -1,9 +1,9 @@
-//! One request on its way through this node: drives its course on the client's own thread.
+//! One request on its way through this node: drives its flow on the client's own thread.
 
 use crate::dialect::{Dialect, Heard, on_to_target};
 use crate::downstream::head::Head;
 use crate::share::Shared;
-use crate::target_connection::{Outgoing, TargetConnection, Terms};
+use crate::target_connection::{EndsWithClient, Outgoing, TargetConnection, Terms};
 use postbarrow_constants::coordination::{SETTLE_WAIT_MS, TICKET_KEY_BYTES};
 use postbarrow_constants::traffic::PROOF_WAIT_MS;
 use postbarrow_downstream::client_watch::ClientWatch;
@@ -38,9 +38,9 @@
 
 /// Takes a request to its end.
 pub fn forward(shared: &Arc<Shared>, incoming: Incoming<'_>) -> Forwarded {
-    let (go, entry) = plan_course(shared, &incoming);
+    let (context, entry) = describe(shared, &incoming);
     let mut work = Work::new(shared, &incoming, &entry);
-    let mut course = Course::new(go, entry);
+    let mut flow = RequestFlow::new(context, entry);
     let mut event = Event::Start;
     loop {
         let table = shared.table.load_full();
@@ -51,21 +51,19 @@
             number: shared.number(),
             client_left: incoming.client.is_known_left(),
         };
-        event = match course.handle(&now, event) {
+        event = match flow.handle(&now, event) {
             Step::Connect { target, load, wait_ms } => work.connect(target, load, wait_ms),
             Step::AskTicket { ticket, wait_ms } => {
                 let request = Request::Ticket(ticket);
                 Event::Answered(shared.request(request, wait_ms, incoming.client))
             }
             Step::Pass { wait_ms, until_ms } => Event::Passed(work.pass(wait_ms, until_ms)),
-            Step::Settle { ticket, settlement, response, wait_ms } => {
-                let request = Request::Settle { ticket, settlement, response };
-                Event::Answered(shared.request(request, wait_ms, incoming.client))
+            Step::Settle { settling, wait_ms } => {
+                Event::Answered(shared.request(settling.into(), wait_ms, incoming.client))
             }
-            Step::Done { verdict, settle } => {
-                if let Some((ticket, settlement, response)) = settle {
-                    let request = Request::Settle { ticket, settlement, response };
-                    shared.tell(request, SETTLE_WAIT_MS);
+            Step::Done { verdict, settling } => {
+                if let Some(settling) = settling {
+                    shared.tell(settling.into(), SETTLE_WAIT_MS);
                 }
                 return match verdict.told {
                     Told::ClientLeft => Forwarded::ClientLeft,
@@ -76,8 +74,8 @@
     }
 }
 
-/// What the course of a request is to know of it, and its route with one service drawn.
-fn plan_course(shared: &Shared, incoming: &Incoming<'_>) -> (Go, Arc<Entry>) {
+/// What the flow of a request is to know of it, and its route with one service drawn.
+fn describe(shared: &Shared, incoming: &Incoming<'_>) -> (RequestContext, Arc<Entry>) {
     let dialect = shared.dialect.as_ref();
     let seed = shared.own.incarnation ^ shared.number();
     let entry = incoming.entry.drawn(seed);
@@ -87,7 +85,7 @@
     let logged = dialect.named().is_none();
     let is_ticketed = logged && entry.route().kind == Kind::OneTime;
     let key = dialect.key(incoming.head);
-    let go = Go {
+    let context = RequestContext {
         key: match key {
             Some(key) => Name::from(key),
             None if is_ticketed => shared.made_key(),
@@ -101,10 +99,10 @@
         until_ms: client_until_ms.map_or(until_ms, |client_ms| until_ms.min(client_ms)),
         seed,
     };
-    (go, entry)
+    (context, entry)
 }
 
-/// What a course has in hand on this node.
+/// What a request has in hand on this node.
 struct Work<'a> {
     shared: &'a Arc<Shared>,
     incoming: &'a Incoming<'a>,
@@ -179,10 +177,10 @@
             until_ms: clock_ms() + wait_ms.max(1),
             repeatable: self.repeatable,
         };
-        let unwatched = ClientWatch::nobody();
         let terms = Terms {
             may_send: &|| self.may_send(&target.instance, until_ms),
-            client: if self.repeatable { self.incoming.client } else { &unwatched },
+            client: self.incoming.client,
+            ends_with_client: self.ends_with_client(),
             judge: &|response, first| match dialect.named() {
                 Some(named) => named.heard(head, response, first),
                 None => Heard::Whole,
@@ -202,6 +200,15 @@
         passed
     }
 
+    fn ends_with_client(&self) -> EndsWithClient {
+        let keyed = self.shared.dialect.key(self.incoming.head).is_some();
+        match (self.repeatable, keyed) {
+            (true, _) => EndsWithClient::Always,
+            (false, true) => EndsWithClient::Never,
+            (false, false) => EndsWithClient::UntilSent,
+        }
+    }
+
     /// Looked at right before the first byte: the client still waits, and hold, target and ticket
     /// still stand.
     fn may_send(&self, instance: &Name, until_ms: u64) -> bool {
--- a/programs/data-plane/src/lib.rs
+++ b/programs/data-plane/src/lib.rs
@@ -1,4 +1,6 @@
-//! The data plane: takes asks, finds their route, passes each to a proved target.
+//! The data plane: takes requests, finds their route, passes each to a proved target.
+
+#![deny(missing_docs)]
 
 mod answer;
 mod calls;
@@ -41,11 +43,18 @@
 }
 
 impl DataPlane {
+    /// Starts a node that speaks the product's own dialect.
+    ///
+    /// # Errors
+    /// An address can't be bound, or a thread not started.
     pub fn start(startup: &Startup) -> io::Result<DataPlane> {
         DataPlane::speaking(startup, Arc::new(Own))
     }
 
     /// The same node for callers and targets that speak another dialect.
+    ///
+    /// # Errors
+    /// An address can't be bound, or a thread not started.
     pub fn speaking(startup: &Startup, dialect: Arc<dyn Dialect>) -> io::Result<DataPlane> {
         let (links, address) = startup.listen()?;
         let http = TcpListener::bind(startup.http)?;
@@ -84,15 +93,17 @@
         self.shared.command(Command::Seeds(seeds));
     }
 
+    /// Whether clients may be sent here.
     pub fn is_ready(&self) -> bool {
         self.shared.is_ready()
     }
 
+    /// Where callers reach it.
     pub fn http(&self) -> SocketAddr {
         self.shared.own.http
     }
 
-    /// Unready first, then asks in flight finish, then the node ends.
+    /// Unready first, then requests in flight finish, then the node ends.
     pub fn stop(&self) {
         info!("node: stops");
         self.shared.stopping.store(true, SeqCst);
--- a/programs/data-plane/src/tests/client_left.rs
+++ b/programs/data-plane/src/tests/client_left.rs
@@ -52,11 +52,19 @@
     from.recv_timeout(HANG).unwrap_or_else(|_| panic!("{what}"));
 }
 
+/// Waits until a target has a request.
+fn gets(target: &ScriptedTarget) {
+    while target.runs() == 0 {
+        thread::yield_now();
+    }
+}
+
 /// Waits until the node has nothing at work any more.
 fn rests(rig: &Rig) {
     let count = |of: &AtomicUsize| of.load(Relaxed);
     let shared = &rig.shared;
-    let at_work = || count(&shared.asks) + count(&shared.calls) + count(&shared.watches);
+    let at_work =
+        || count(&shared.requests_at_work) + count(&shared.calls) + count(&shared.watches);
     let tries = HANG.as_millis();
     for _ in 0..tries {
         if at_work() == 0 {
