--- a/crates/constants/src/coordination.rs
+++ b/crates/constants/src/coordination.rs
@@ -12,7 +12,7 @@
 pub const TICKET_KEEP_MS: u64 = 15 * 60 * 1_000;
 /// The log's own time goes on in such steps; a change of controller may lose one.
 pub const ERA_MS: u64 = 30_000;
-/// Tickets at most: twice Kutch's 170 a second for fifteen minutes. Beyond it new one-time asks are
+/// Tickets at most: twice Kutch's 170 a second for fifteen minutes. Beyond it new one-time requests are
 /// shed; a kept key is never dropped before its time.
 pub const TICKETS: usize = 306_000;
 /// Bytes of kept responses in all: with the tickets, a slot of a small disk stays near 160 MiB.
--- a/crates/constants/src/nodes.rs
+++ b/crates/constants/src/nodes.rs
@@ -1,6 +1,6 @@
 //! Freshness, relays, heartbeats and target lists.
 //!
-//! From 'the list shows it' to 'no new ask anywhere', at worst, for P pages of T ms, a gap of G ms
+//! From 'the list shows it' to 'no new request anywhere', at worst, for P pages of T ms, a gap of G ms
 //! between questions that the list's rate permits, and F pages asked for beside each other:
 //! max(LIST_CYCLE_MS, P x G, P / F x T + LIST_PAUSE_MS) + T + LEAVING_WAIT_MS (200)
 //! and COMMIT_MS (100) and NODE_HOLD_MS (1000).
@@ -55,7 +55,7 @@
 /// Pages asked for beside each other; more would only run into the list's rate.
 pub const LIST_IN_FLIGHT: usize = 4;
 /// Whole walks in a row that miss a row which may only have shifted, before it counts as gone; it
-/// gets no asks from the first one on while others of its service are there.
+/// gets no requests from the first one on while others of its service are there.
 pub const LIST_MISSES: u8 = 6;
 /// Gap between two questions to the list until it refuses one: eight a second.
 pub const LIST_GAP_MS: u64 = 125;
@@ -71,7 +71,7 @@
 pub const LIST_WINDOW_MS: u64 = 1_000;
 /// Allowance for a change's way through the log.
 pub const COMMIT_MS: u64 = 100;
-/// What the users allow from a mark to the last ask; beyond it status and log say so.
+/// What the users allow from a mark to the last request; beyond it status and log say so.
 pub const LEAVE_BOUND_MS: u64 = 2_500;
 /// A new controller grants no lease before its first whole walk, but waits no longer than this for it:
 /// a list that is out of reach must not take the service with it.
--- a/crates/constants/src/plans.rs
+++ b/crates/constants/src/plans.rs
@@ -24,13 +24,13 @@
 pub const FINDINGS: usize = 100;
 /// Bytes of a submission's version name.
 pub const VERSION_BYTES: usize = 128;
-/// A rehearsal runs recent asks through two plans for no longer than this.
+/// A rehearsal runs recent requests through two plans for no longer than this.
 pub const REHEARSE_MS: u64 = 1_000;
-/// Recent asks that wait at a node to be told of; beyond it they are only counted.
+/// Recent requests that wait at a node to be told of; beyond it they are only counted.
 pub const SAMPLES_WAITING: usize = 32;
 /// Of them told with one question for freshness: twelve nodes tell of 320 a second.
 pub const SAMPLES_TOLD: usize = 4;
-/// Recent asks the controller keeps, and for how long.
+/// Recent requests the controller keeps, and for how long.
 pub const SAMPLES: usize = 2_000;
 pub const SAMPLES_KEEP_MS: u64 = 60_000;
 /// A longer path, or header that a rule names, is not sampled.
@@ -57,7 +57,7 @@
 pub const DEPTH: usize = 32;
 /// A host's name, by the rules of names.
 pub const HOST_BYTES: usize = 253;
-/// Goes a route may name for one ask; each further one comes out of the budget anyway.
+/// Attempts a route may name for one request; each further one comes out of the budget anyway.
 pub const TRIES_MOST: u64 = 16;
 /// Ranks of precedence; 0 goes first.
 pub const PRECEDENCE_MOST: u64 = 255;
--- a/crates/constants/src/traffic.rs
+++ b/crates/constants/src/traffic.rs
@@ -42,26 +42,26 @@
 pub const BODIES_BYTES: usize = 256 * 1024 * 1024;
 /// Response body of a target, at most.
 pub const RESPONSE_BYTES: usize = 32 * 1024 * 1024;
-/// Asks at work in one node; beyond it they are shed at once.
-pub const ASKS: usize = 768;
+/// Requests at work in one node; beyond it they are shed at once.
+pub const REQUESTS_AT_WORK: usize = 768;
 /// Once half of a node's places are taken, one client address has no more than this share of them.
 pub const CLIENT_SHARE_PERCENT: usize = 25;
 /// The same for one route: a storm on one leaves places for the others.
 pub const ROUTE_SHARE_PERCENT: usize = 50;
 /// Buckets in which client addresses are counted; a collision only makes a share smaller.
 pub const CLIENT_BUCKETS: usize = 1_024;
-/// Asks for coordination at work in one node.
-pub const COORDINATION_ASKS: usize = 256;
-/// Share of the budget that extra goes may take of a service's asks, in per cent.
-pub const EXTRA_GOES_PERCENT: u64 = 20;
-/// Extra goes allowed to the whole fleet beyond the share, per second; small, so that quiet services recover.
-pub const EXTRA_GOES_PER_S: u64 = 1;
+/// Coordination calls at work in one node.
+pub const CALLS_AT_WORK: usize = 256;
+/// Retries that all nodes together may make, in per cent of a service's requests.
+pub const RETRY_PERCENT: u64 = 20;
+/// Retries allowed to the whole fleet beyond that share, per second; few, so that quiet services recover.
+pub const RETRIES_PER_S: u64 = 1;
 /// Allowance a fleet can save up.
-pub const EXTRA_GOES_SAVED: u64 = 10;
-/// Goes of one lookup.
-pub const GOES: usize = 3;
-/// Goes of one ticketed ask: each further one needs a committed unsent.
-pub const TICKETED_GOES: usize = 3;
+pub const RETRIES_SAVED: u64 = 10;
+/// Attempts of one lookup.
+pub const ATTEMPTS: usize = 3;
+/// Attempts of one ticketed request: each further one needs a committed *unsent*.
+pub const TICKETED_ATTEMPTS: usize = 3;
 /// Connections kept idle for one target.
 pub const IDLE_CONNECTIONS: usize = 16;
 /// A target proves itself within this time.
@@ -72,10 +72,10 @@
 pub const RETRY_AFTER_S: u64 = 1;
 /// Clean stop: unready this long before the listener closes, so that the platform sees it.
 pub const STOP_UNREADY_MS: u64 = 1_000;
-/// Clean stop: asks in flight get this long.
+/// Clean stop: requests in flight get this long.
 pub const STOP_WAIT_MS: u64 = 20_000;
 /// A target in another zone must be this much emptier before it is taken instead.
-pub const ZONE_SLACK_ASKS: u64 = 4;
+pub const ZONE_SLACK_REQUESTS: u64 = 4;
 /// A target that failed here is passed over this long while others are there.
 pub const FAILED_PAUSE_MS: u64 = 1_000;
 /// One read of a client's connection.
@@ -97,7 +97,7 @@
 pub const DESKS: usize = 512;
 /// A process looks for signals at this pace; a stop has seconds.
 pub const LOOK_FOR_SIGNALS_MS: u64 = 50;
-/// What a target told of its occupancy is worth a third after this: about one ask's time.
+/// What a target told of its occupancy is worth a third after this: about one request's time.
 pub const REPORT_FADES_MS: f64 = 400.0;
 /// Another zone costs as much as so great a part of a target's slots.
 pub const FAR_SLOTS: f64 = 0.1;
@@ -107,11 +107,11 @@
 pub const COLD_TIMES: f64 = 2.0;
 /// A link whose bytes are not acknowledged for so long is opened anew: its machine may be back.
 pub const LINK_UNHEARD_MS: u64 = 400;
-/// A repeatable ask whose bytes its target's machine does not acknowledge for so long goes elsewhere.
+/// A repeatable request whose bytes its target's machine does not acknowledge for so long goes elsewhere.
 pub const TARGET_UNHEARD_MS: u64 = 300;
 /// A target that fails again is passed over twice as long, up to this.
 pub const FAILED_PAUSE_MOST_MS: u64 = 8_000;
-/// A target that turned an ask away is passed over this long while others have room.
+/// A target that turned a request away is passed over this long while others have room.
 pub const TURNED_AWAY_PAUSE_MS: u64 = 200;
 /// A waiting request looks this often whether its client has left, where it waits for no socket: well
 /// within the half second after which work for a client that left is a fault.
--- a/crates/node/src/course.rs
+++ b/crates/node/src/flow.rs
@@ -1,41 +1,41 @@
-//! The course of one request, without I/O.
+//! The flow of one request, without I/O.
 
-use crate::step::{Event, Go, Now, Passed, Step};
+use crate::step::{Event, Now, Passed, RequestContext, Step};
 use crate::verdict::{About, Told, Verdict};
 use postbarrow_constants::coordination::TICKET_USE_MS;
-use postbarrow_constants::traffic::{GOES, TICKETED_GOES};
+use postbarrow_constants::traffic::{ATTEMPTS, TICKETED_ATTEMPTS};
 use postbarrow_messages::Response;
 use postbarrow_routing::{Entry, Load, mix};
 use postbarrow_state::{Kind, Name, Settlement, Target, Ticket};
 use std::fmt;
 use std::sync::Arc;
 
-/// The course of one request: which target is next, whether it needs a ticket, how it ends. Once its
+/// The flow of one request: which target is next, whether it needs a ticket, how it ends. Once its
 /// client has left it begins nothing more; what a target may be running goes on to its settlement.
-pub struct Course {
-    go: Go,
+pub struct RequestFlow {
+    context: RequestContext,
     entry: Arc<Entry>,
     tried: Vec<Name>,
     target: Option<Arc<Target>>,
     load: Option<Arc<Load>>,
     ticket: Option<Ticket>,
-    asked_ms: u64,
+    ticket_asked_ms: u64,
     proved: bool,
-    /// An earlier go of this ask may have run.
+    /// An earlier attempt may have run.
     sent: bool,
     why: String,
 }
 
-impl Course {
-    pub fn new(go: Go, entry: Arc<Entry>) -> Self {
-        Course {
-            go,
+impl RequestFlow {
+    pub fn new(context: RequestContext, entry: Arc<Entry>) -> Self {
+        RequestFlow {
+            context,
             entry,
             tried: Vec::new(),
             target: None,
             load: None,
             ticket: None,
-            asked_ms: 0,
+            ticket_asked_ms: 0,
             proved: false,
             sent: false,
             why: String::new(),
@@ -45,15 +45,15 @@
     pub fn handle(&mut self, now: &Now<'_>, event: Event) -> Step {
         match event {
             Event::Start => {
-                self.entry.budget.on_ask(now.table.nodes());
-                self.next_go(now)
+                self.entry.budget.on_request(now.table.nodes());
+                self.next_attempt(now)
             }
             Event::Unconnected(why) => {
                 if !now.client_left {
                     self.load_failed(now);
                 }
                 self.why = why;
-                self.extra_go(now)
+                self.retry(now)
             }
             Event::Connected => self.on_connected(now),
             Event::Answered(response) => self.on_answered(now, response),
@@ -62,7 +62,7 @@
     }
 
     fn left_ms(&self, now: &Now<'_>) -> u64 {
-        self.go.until_ms.saturating_sub(now.now_ms)
+        self.context.until_ms.saturating_sub(now.now_ms)
     }
 
     fn is_one_time(&self) -> bool {
@@ -75,8 +75,8 @@
         }
     }
 
-    /// Targets come from the entry the ask began with, checked against the image of this moment.
-    fn next_go(&mut self, now: &Now<'_>) -> Step {
+    /// Targets come from the entry the request began with, checked against the image of this moment.
+    fn next_attempt(&mut self, now: &Now<'_>) -> Step {
         if now.client_left {
             return self.end(Told::ClientLeft);
         }
@@ -87,8 +87,8 @@
             return self.end(Told::Late);
         }
         loop {
-            let seed = mix(self.go.seed ^ self.tried.len() as u64);
-            let picked = self.entry.pick(&self.go.zone, &self.tried, now.now_ms, seed);
+            let seed = mix(self.context.seed ^ self.tried.len() as u64);
+            let picked = self.entry.pick(&self.context.zone, &self.tried, now.now_ms, seed);
             let Some((target, load)) = picked else {
                 let why = std::mem::take(&mut self.why);
                 return self.end(Told::NoTarget(why));
@@ -102,11 +102,11 @@
         }
     }
 
-    fn extra_go(&mut self, now: &Now<'_>) -> Step {
+    fn retry(&mut self, now: &Now<'_>) -> Step {
         if now.client_left {
             return self.end(Told::ClientLeft);
         }
-        let most = if self.is_one_time() { TICKETED_GOES } else { GOES };
+        let most = if self.is_one_time() { TICKETED_ATTEMPTS } else { ATTEMPTS };
         let tries = self.entry.route().tries;
         let most = tries.map_or(most, |tries| tries as usize);
         let nodes = now.table.nodes();
@@ -114,7 +114,7 @@
             let why = std::mem::take(&mut self.why);
             return self.end(Told::GaveUp(why));
         }
-        self.next_go(now)
+        self.next_attempt(now)
     }
 
     fn may_pass(&self, now: &Now<'_>) -> bool {
@@ -126,28 +126,28 @@
 
     fn on_connected(&mut self, now: &Now<'_>) -> Step {
         let Some(target) = &self.target else { return self.end(Told::Unready) };
-        if !self.is_one_time() || !self.go.logged {
+        if !self.is_one_time() || !self.context.logged {
             return match self.may_pass(now) {
                 true => Step::Pass { wait_ms: self.left_ms(now), until_ms: u64::MAX },
-                false => self.next_go(now),
+                false => self.next_attempt(now),
             };
         }
         if now.client_left {
             return self.end(Told::ClientLeft);
         }
         let ticket = Ticket {
-            key: self.go.key.clone(),
-            digest: self.go.digest,
+            key: self.context.key.clone(),
+            digest: self.context.digest,
             service: self.entry.route().service.clone(),
             instance: target.instance.clone(),
-            node: self.go.node,
+            node: self.context.node,
             number: now.number,
             settled: None,
             response: None,
             era: 0,
         };
         self.ticket = Some(ticket.clone());
-        self.asked_ms = now.now_ms;
+        self.ticket_asked_ms = now.now_ms;
         Step::AskTicket { ticket, wait_ms: self.left_ms(now).min(TICKET_USE_MS) }
     }
 
@@ -155,9 +155,9 @@
         match response {
             Response::Granted => {
                 self.proved = true;
-                let fresh = now.now_ms < self.asked_ms + TICKET_USE_MS;
+                let fresh = now.now_ms < self.ticket_asked_ms + TICKET_USE_MS;
                 if fresh && self.may_pass(now) {
-                    let until_ms = self.asked_ms + TICKET_USE_MS;
+                    let until_ms = self.ticket_asked_ms + TICKET_USE_MS;
                     return Step::Pass { wait_ms: self.left_ms(now), until_ms };
                 }
                 self.why = "the ticket came too late for its target".into();
@@ -165,7 +165,7 @@
             }
             Response::Settled => {
                 self.ticket = None;
-                self.extra_go(now)
+                self.retry(now)
             }
             Response::Known(known) => {
                 self.ticket = None;
@@ -192,7 +192,7 @@
         }
     }
 
-    /// No target ran it. Another go may follow once its ticket, if it has one, is settled; nobody
+    /// No target ran it. Another attempt may follow once its ticket, if it has one, is settled; nobody
     /// waits for that where the client has left.
     fn settle_unsent(&mut self, now: &Now<'_>) -> Step {
         if now.client_left {
@@ -206,7 +206,7 @@
                 response: None,
                 wait_ms: self.left_ms(now).clamp(1, TICKET_USE_MS),
             },
-            None => self.extra_go(now),
+            None => self.retry(now),
         }
     }
 
@@ -240,7 +240,7 @@
                 self.sent = true;
                 if !self.is_one_time() && !late {
                     self.why = why;
-                    return self.extra_go(now);
+                    return self.retry(now);
                 }
                 let settle = self.ticket.take().map(|ticket| (ticket, Settlement::Unknown, None));
                 let told = if late { Told::TargetLate(why) } else { Told::TargetFailed(why) };
@@ -262,25 +262,25 @@
     fn verdict(&self, told: Told) -> Verdict {
         let about = About {
             one_time: self.is_one_time(),
-            keyed: self.go.keyed,
+            keyed: self.context.keyed,
             proved: self.proved,
             sent: self.sent,
         };
-        let key = (about.one_time && !about.keyed).then(|| self.go.key.clone());
+        let key = (about.one_time && !about.keyed).then(|| self.context.key.clone());
         Verdict { told, about, key }
     }
 }
 
-/// All that decides what the course does next, but for its entry's own counters.
-impl fmt::Debug for Course {
+/// All that decides what the flow does next, but for its entry's own counters.
+impl fmt::Debug for RequestFlow {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         let target = self.target.as_ref().map(|target| &target.instance);
         let ticket = self.ticket.as_ref().map(|ticket| ticket.number);
-        out.debug_struct("Course")
+        out.debug_struct("RequestFlow")
             .field("tried", &self.tried)
             .field("target", &target)
             .field("ticket", &ticket)
-            .field("asked_ms", &self.asked_ms)
+            .field("ticket_asked_ms", &self.ticket_asked_ms)
             .field("proved", &self.proved)
             .field("sent", &self.sent)
             .finish_non_exhaustive()
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,13 +1,13 @@
-//! A data-plane node without I/O: freshness and hold, the relay tree, and the course of one ask.
+//! A data-plane node without I/O: freshness and hold, the relay tree, and the flow of one request.
 
-mod course;
+mod flow;
 mod fresh;
 mod news;
 mod step;
 mod verdict;
 
-pub use course::Course;
-pub use step::{Event, Go, Now, Passed, Step, TargetResponse};
+pub use flow::RequestFlow;
+pub use step::{Event, Now, Passed, RequestContext, Step, TargetResponse};
 pub use verdict::{About, KEY, OUTCOME, REPLAYED, Told, Verdict};
 
 use fresh::FreshBook;
@@ -38,7 +38,7 @@
         instance: Name,
         sound: bool,
     },
-    /// Some of the asks that came, and how many came.
+    /// Some of the requests that came, and how many came.
     Saw {
         samples: Vec<Sample>,
         seen: u64,
@@ -244,7 +244,7 @@
     pub fn own(&self) -> &Node {
         &self.own
     }
-    pub fn open_asks(&self) -> usize {
+    pub fn open_questions(&self) -> usize {
         self.controller_client.open()
     }
 }
--- a/crates/node/src/step.rs
+++ b/crates/node/src/step.rs
@@ -5,15 +5,15 @@
 use postbarrow_state::{Digest, Incarnation, Kept, Name, Settlement, Target, Ticket};
 use std::sync::Arc;
 
-/// What one ask is, beyond its bytes.
+/// What one request is, beyond its bytes.
 #[derive(Clone)]
-pub struct Go {
+pub struct RequestContext {
     pub key: Name,
     pub keyed: bool,
     pub digest: Digest,
     pub node: Incarnation,
     pub zone: Name,
-    /// Its one-time asks get a ticket from the log; else this life's own, under its lease.
+    /// One-time requests get a ticket from the log; else this life's own, under its lease.
     pub logged: bool,
     /// When its client has no more use for a response.
     pub until_ms: u64,
@@ -41,7 +41,7 @@
     Whole(TargetResponse),
     /// Provably not a byte reached the target.
     Unsent(String),
-    /// The target itself says that it did not run the ask, nor will.
+    /// The target itself says that it did not run the request, nor will.
     NotRun(String),
     Unknown {
         late: bool,
--- a/crates/node/src/verdict.rs
+++ b/crates/node/src/verdict.rs
@@ -3,7 +3,7 @@
 use postbarrow_constants::traffic::RETRY_AFTER_S;
 use postbarrow_state::{Name, Settlement, Ticket};
 
-/// How an ask ended, before it is put into HTTP.
+/// How a request ended, before it is put into HTTP.
 #[derive(Debug)]
 pub enum Told {
     Whole(TargetResponse),
@@ -32,16 +32,16 @@
 pub struct Verdict {
     pub told: Told,
     pub about: About,
-    /// The key that was made up for an ask without one.
+    /// The key that was made up for a request without one.
     pub key: Option<Name>,
 }
 
-/// What decides how sure a node can be that an ask did not run.
+/// What decides how sure a node can be that a request did not run.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct About {
     pub one_time: bool,
     pub keyed: bool,
-    /// The log granted this ask a ticket, so nothing ran under its key before.
+    /// The log granted this request a ticket, so nothing ran under its key before.
     pub proved: bool,
     /// A target may have run it.
     pub sent: bool,
@@ -56,7 +56,7 @@
 }
 
 pub const OUTCOME: &str = "Postbarrow-Outcome";
-/// Under which key a repeat of this ask is safe.
+/// Under which key a repeat of this request is safe.
 pub const KEY: &str = "Postbarrow-Key";
 pub const REPLAYED: &str = "Postbarrow-Replayed";
 
@@ -112,8 +112,8 @@
 }
 
 impl About {
-    /// What a key did before, this node can't say without the log: never 'not run' for a keyed ask
-    /// that was turned away, whatever the reason.
+    /// What a key did before, this node can't say without the log: never 'not run' for a keyed
+    /// request that was turned away, whatever the reason.
     fn made(
         &self,
         status: u16,
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -11,7 +11,7 @@
     refilled_ms: AtomicU64,
 }
 
-/// Extra goes of the whole fleet to one service: per cent of its asks, a second beside, saved up.
+/// Retries of the whole fleet to one service: per cent of its requests, a second beside, saved up.
 #[derive(Clone, Copy, Debug)]
 pub struct Extra {
     pub percent: u64,
@@ -21,7 +21,7 @@
 
 impl Default for Extra {
     fn default() -> Self {
-        Extra { percent: EXTRA_GOES_PERCENT, per_s: EXTRA_GOES_PER_S, saved: EXTRA_GOES_SAVED }
+        Extra { percent: RETRY_PERCENT, per_s: RETRIES_PER_S, saved: RETRIES_SAVED }
     }
 }
 
@@ -30,7 +30,7 @@
         Budget { extra, ..Budget::default() }
     }
 
-    pub fn on_ask(&self, nodes: u64) {
+    pub fn on_request(&self, nodes: u64) {
         self.add((self.extra.percent as i64) * ONE_GO / 100, nodes);
     }
 
@@ -39,7 +39,7 @@
         let _ = self.saved.fetch_update(Relaxed, Relaxed, |saved| Some((saved + amount).min(most)));
     }
 
-    /// Takes one extra go if the budget has it.
+    /// Takes one retry if the budget has it.
     pub fn take(&self, now_ms: u64, nodes: u64) -> bool {
         let since_ms = self.refilled_ms.load(Relaxed);
         let past_ms = now_ms.saturating_sub(since_ms);
--- a/crates/routing/src/budget/tests.rs
+++ b/crates/routing/src/budget/tests.rs
@@ -11,13 +11,13 @@
     for ask in 0..asks {
         let now_ms = 1 + ask * 2;
         let node = &fleet[(ask % nodes) as usize];
-        node.on_ask(nodes);
+        node.on_request(nodes);
         for _ in 0..3 {
             taken += u64::from(node.take(now_ms, nodes));
         }
     }
     let seconds = asks * 2 / 1_000;
-    let most = asks / 5 + seconds * EXTRA_GOES_PER_S + nodes + EXTRA_GOES_SAVED;
+    let most = asks / 5 + seconds * RETRIES_PER_S + nodes + RETRIES_SAVED;
     assert!(taken <= most, "{taken} of at most {most}");
     assert!(taken >= asks / 5, "the share itself is there: {taken}");
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,4 +1,4 @@
-//! From an ask to a target: match, limits, pick, and the budget of extra goes.
+//! From a request to a target: match, limits, pick, and the budget of retries.
 
 mod budget;
 mod heads;
--- a/crates/routing/src/pick.rs
+++ b/crates/routing/src/pick.rs
@@ -9,7 +9,7 @@
 #[derive(Debug, Default)]
 pub struct Load {
     at_work: AtomicU64,
-    /// What a response or a probe told last, without this node's own asks, and when.
+    /// What a response or a probe told last, without this node's own requests, and when.
     reported: AtomicU64,
     reported_ms: AtomicU64,
     failed_until_ms: AtomicU64,
@@ -95,13 +95,13 @@
     let near: Vec<&Choice> = all.iter().filter(|choice| choice.0.zone == zone).copied().collect();
     let far = emptier(&all, seed)?;
     let chosen = match emptier(&near, mix(seed)) {
-        Some(near) if near.1.occupancy() <= far.1.occupancy() + ZONE_SLACK_ASKS => near,
+        Some(near) if near.1.occupancy() <= far.1.occupancy() + ZONE_SLACK_REQUESTS => near,
         _ => far,
     };
     Some(chosen.clone())
 }
 
-/// The target with the most room, as far as this node knows: its own asks and the last reports.
+/// The target with the most room, as far as this node knows: its own requests and the last reports.
 fn by_slots<'c>(among: &[&'c Choice], zone: &str, now_ms: u64, seed: u64) -> Option<&'c Choice> {
     let told = among.iter().filter(|choice| choice.1.reported_ms.load(Relaxed) > 0);
     let (sum, count) = told
@@ -111,10 +111,10 @@
     let mut score = |choice: &Choice| {
         drawn = mix(drawn);
         let chance = (drawn % 1_024) as f64 / 1_024.0 * CHANCE_SLOTS;
-        let asks = choice.1.at_work() as f64 + choice.1.others(now_ms, usual) + 1.0;
+        let requests = choice.1.at_work() as f64 + choice.1.others(now_ms, usual) + 1.0;
         let cold = if choice.0.cold { COLD_TIMES } else { 1.0 };
         let far = if choice.0.zone == zone { 0.0 } else { FAR_SLOTS };
-        asks * cold / choice.0.slots as f64 + far + chance
+        requests * cold / choice.0.slots as f64 + far + chance
     };
     let scored = among.iter().map(|choice| (score(choice), *choice));
     scored.min_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, choice)| choice)
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
-/// One route with all that its asks need.
+/// One route with all that its requests need.
 pub struct Entry {
     pub made: Arc<Made>,
     pub budget: Arc<Budget>,
@@ -20,7 +20,7 @@
     ways: Vec<(u64, Arc<Entry>)>,
 }
 
-/// A whole image made ready for asks; replaced whole by one swap.
+/// A whole image made ready for requests; replaced whole by one swap.
 pub struct Table {
     pub state: Arc<State>,
     pub offset: u64,
@@ -62,7 +62,7 @@
         }
     }
 
-    /// Per cent of asks, a second and saved up; tables made from this one keep it.
+    /// Per cent of requests, a second and saved up; tables made from this one keep it.
     pub fn with_extra(mut self, (percent, per_s, saved): (u64, u64, u64)) -> Self {
         self.extra = Extra { percent, per_s, saved };
         self
@@ -158,7 +158,7 @@
         self.state.nodes.len().max(1) as u64
     }
 
-    /// Whether a target may still get an ask of this service under the present image.
+    /// Whether a target may still get a request of this service under the present image.
     pub fn allows(&self, service: &Name, instance: &Name) -> bool {
         let service = self.state.services.get(service);
         let target = self.state.targets.get(instance);
--- a/crates/simulation/src/data.rs
+++ b/crates/simulation/src/data.rs
@@ -127,7 +127,7 @@
                         Waits::Request(request) => {
                             let event = postbarrow_node::Event::Answered(response);
                             let life = self.data[at].life;
-                            self.after(0, Event::Go { request, data: at, life, event });
+                            self.after(0, Event::Resume { request, data: at, life, event });
                         }
                         Waits::Caller { caller, number } => {
                             self.caller_hears(caller, number, response)
--- a/crates/simulation/src/event.rs
+++ b/crates/simulation/src/event.rs
@@ -63,7 +63,8 @@
     ClientComesBack {
         request: u64,
     },
-    Go {
+    /// A request goes on with what it waited for.
+    Resume {
         request: u64,
         data: usize,
         life: u64,
@@ -126,7 +127,7 @@
             | Event::Door { at, .. } => Some(Who::Control(*at)),
             Event::Arrive { data, .. }
             | Event::SeesClientLeave { data, .. }
-            | Event::Go { data, .. }
+            | Event::Resume { data, .. }
             | Event::Send { data, .. }
             | Event::Probe { data, .. } => Some(Who::Data(*data)),
             _ => None,
--- a/crates/simulation/src/fault.rs
+++ b/crates/simulation/src/fault.rs
@@ -10,7 +10,7 @@
     Connected,
     /// The ticket's response is there, the last look at the lease is not done.
     Granted,
-    /// The course said 'pass'; the gate before the first byte is not asked.
+    /// The flow said 'pass'; the gate before the first byte is not asked.
     Sending,
     /// The target has run it, the response is not read.
     Responded,
--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -92,7 +92,7 @@
         let (data, request, here) = match event {
             Event::Arrive { data, request, .. } => (*data, *request, stage == Stage::Arrived),
             Event::Send { data, request, .. } => (*data, *request, stage == Stage::Sending),
-            Event::Go { data, request, event, .. } => {
+            Event::Resume { data, request, event, .. } => {
                 let here = match event {
                     GoEvent::Connected => stage == Stage::Connected,
                     GoEvent::Answered(Response::Granted) => stage == Stage::Granted,
--- a/crates/simulation/src/passing.rs
+++ b/crates/simulation/src/passing.rs
@@ -24,7 +24,7 @@
             }
             Some(_) => (1_200, postbarrow_node::Event::Connected),
         };
-        self.after(took_us, Event::Go { request, data, life, event });
+        self.after(took_us, Event::Resume { request, data, life, event });
     }
 
     /// The look right before the first byte, then the bytes.
@@ -40,7 +40,7 @@
         let client_waits = self.may_send_for_client(request);
         if !(client_waits && allowed && now_ms < until_ms && self.serves(data)) {
             let event = postbarrow_node::Event::Passed(Passed::Unsent("the gate is shut".into()));
-            return self.after(0, Event::Go { request, data, life, event });
+            return self.after(0, Event::Resume { request, data, life, event });
         }
         self.check_pass(request, data);
         let Some(run) = self.requests.get_mut(&request) else { return };
@@ -83,6 +83,6 @@
             }
         };
         let event = postbarrow_node::Event::Passed(passed);
-        self.after(took_us, Event::Go { request, data, life, event });
+        self.after(took_us, Event::Resume { request, data, life, event });
     }
 }
--- a/crates/simulation/src/requests.rs
+++ b/crates/simulation/src/requests.rs
@@ -23,7 +23,7 @@
     /// The life of the node that took it, and when it must have answered at the latest.
     life: u64,
     answer_due_us: u64,
-    course: Option<Course>,
+    flow: Option<RequestFlow>,
     pub target: Option<(Arc<Target>, Arc<Load>)>,
     /// Who was at the other end when the connection was made, whoever that is.
     pub connected: Option<String>,
@@ -48,7 +48,7 @@
 
 impl RequestRun {
     pub fn is_at_work(&self, data: usize) -> bool {
-        self.data == data && self.course.is_some()
+        self.data == data && self.flow.is_some()
     }
 
     pub fn target_name(&self) -> Option<String> {
@@ -109,7 +109,7 @@
             data,
             life,
             answer_due_us: u64::MAX,
-            course: None,
+            flow: None,
             target: None,
             connected: None,
             client_left: false,
@@ -125,7 +125,7 @@
     pub fn overdue(&self) -> Vec<u64> {
         let overdue = |run: &&RequestRun| {
             let same_life = self.data[run.data].life == run.life;
-            same_life && run.course.is_some() && run.answer_due_us < self.now_us
+            same_life && run.flow.is_some() && run.answer_due_us < self.now_us
         };
         self.requests.values().filter(overdue).map(|run| run.id).collect()
     }
@@ -161,7 +161,7 @@
             true => format!("key-{id}"),
             false => format!("{}:{}", machine.incarnation, machine.number),
         };
-        let go = Go {
+        let context = RequestContext {
             key: Name::from(key),
             keyed,
             digest: [id as u8; 32],
@@ -173,7 +173,7 @@
         };
         if let Some(run) = self.requests.get_mut(&request) {
             run.answer_due_us = self.now_us + answer_bound_us(entry.route().deadline_ms);
-            run.course = Some(Course::new(go, entry));
+            run.flow = Some(RequestFlow::new(context, entry));
         }
         self.go_on(request, data, postbarrow_node::Event::Start);
     }
@@ -185,10 +185,10 @@
         let number = self.data[data].number;
         let table = self.data[data].table.clone();
         let Some(run) = self.requests.get_mut(&request) else { return };
-        let Some(course) = &mut run.course else { return };
+        let Some(flow) = &mut run.flow else { return };
         let client_left = run.saw_client_leave;
         let now = Now { now_ms, table: &table, serves, number, client_left };
-        match course.handle(&now, event) {
+        match flow.handle(&now, event) {
             Step::Connect { target, load, .. } => {
                 run.target = Some((target.clone(), load));
                 run.awaits = Awaits::Connection;
@@ -227,7 +227,7 @@
 
     fn end_request(&mut self, request: u64, verdict: Verdict) {
         let Some(run) = self.requests.get_mut(&request) else { return };
-        run.course = None;
+        run.flow = None;
         if run.client_left {
             return;
         }
--- a/crates/simulation/src/roll.rs
+++ b/crates/simulation/src/roll.rs
@@ -34,7 +34,7 @@
             }
             Who::Data(at) => {
                 let machine = &self.data[at];
-                let open = machine.node.as_ref().map_or(0, |node| node.open_asks());
+                let open = machine.node.as_ref().map_or(0, |node| node.open_questions());
                 let at_work = self.requests.values().any(|request| request.is_at_work(at));
                 (machine.life == life, (open == 0 && !at_work) || past_ms >= STOP_WAIT_MS)
             }
--- a/crates/simulation/src/search/mod.rs
+++ b/crates/simulation/src/search/mod.rs
@@ -6,7 +6,7 @@
 mod forwarded_state;
 mod request;
 mod request_actions;
-mod request_course;
+mod request_flow;
 mod request_plan;
 mod request_rules;
 mod request_state;
--- a/crates/simulation/src/search/request.rs
+++ b/crates/simulation/src/search/request.rs
@@ -1,8 +1,8 @@
-//! Model of two requests through one node: the real `Course` over modelled connections.
+//! Model of two requests through one node: the real `RequestFlow` over modelled connections.
 
 use super::Model;
 use super::request_actions::RequestAction;
-use super::request_course::{
+use super::request_flow::{
     DEADLINE_MS, Fed, Moment, PassedAs, Phase, START_MS, TicketEnd, Views, as_fed,
 };
 use super::request_state::RequestState;
--- a/crates/simulation/src/search/request_actions.rs
+++ b/crates/simulation/src/search/request_actions.rs
@@ -1,7 +1,7 @@
 //! What may happen next to two requests through one node.
 
 use super::request::Requests;
-use super::request_course::Phase;
+use super::request_flow::Phase;
 use super::request_state::RequestState;
 use super::request_wire::{Content, Kind};
 
--- a/crates/simulation/src/search/request_plan.rs
+++ b/crates/simulation/src/search/request_plan.rs
@@ -1,15 +1,15 @@
 //! The plan and the targets of the model of two requests.
 
-use super::request_course::{DEADLINE_MS, START_MS};
+use super::request_flow::{DEADLINE_MS, START_MS};
 use super::request_wire::Kind;
-use postbarrow_node::Go;
+use postbarrow_node::RequestContext;
 use postbarrow_routing::{Entry, Found, Table};
 use postbarrow_state::{Kind as RouteKind, Labels, Name, PlanHead, Route, Service, State, Target};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Extra goes do not bound the search: per cent, a second, saved.
-const EXTRA_GOES: (u64, u64, u64) = (100, 100, 100);
+const RETRIES: (u64, u64, u64) = (100, 100, 100);
 
 /// The name of one of the two targets.
 pub(super) fn target_name(at: usize) -> Name {
@@ -17,8 +17,8 @@
 }
 
 /// What a request is, beyond its bytes.
-pub(super) fn go(client: usize, logged: bool) -> Go {
-    Go {
+pub(super) fn context(client: usize, logged: bool) -> RequestContext {
+    RequestContext {
         key: Name::from(format!("key-{client}")),
         keyed: false,
         digest: [client as u8; 32],
@@ -67,7 +67,7 @@
         };
         state.targets.insert(target.instance.clone(), Arc::new(target));
     }
-    Table::new(Arc::new(state), 1, &Table::empty().with_extra(EXTRA_GOES))
+    Table::new(Arc::new(state), 1, &Table::empty().with_extra(RETRIES))
 }
 
 fn route(path: &str, method: &str, kind: RouteKind) -> Route {
--- a/crates/simulation/src/search/request_rules.rs
+++ b/crates/simulation/src/search/request_rules.rs
@@ -1,7 +1,7 @@
 //! What must hold of every request.
 
 use super::request::Requests;
-use super::request_course::{Phase, Settled, TicketEnd};
+use super::request_flow::{Phase, Settled, TicketEnd};
 use super::request_state::RequestState;
 use super::request_wire::Kind;
 
--- a/crates/simulation/src/search/request_state.rs
+++ b/crates/simulation/src/search/request_state.rs
@@ -1,13 +1,13 @@
 //! Where two requests, their connections and targets stand.
 
 use super::request::Faults;
-use super::request_course::{Phase, TicketEnd};
+use super::request_flow::{Phase, TicketEnd};
 use super::request_wire::{Answer, Connection, Content, Use};
 
 /// Where all stand.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct RequestState {
-    /// Where the courses stand, by the number of their view.
+    /// Where the flows stand, by the number of their view.
     pub(super) view: usize,
     pub(super) phases: [Phase; 2],
     pub(super) tickets: [TicketEnd; 2],
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -213,7 +213,7 @@
                 self.sees_client_leave(request, data, life)
             }
             Event::ClientComesBack { request } => self.client_comes_back(request),
-            Event::Go { request, data, life, event } => {
+            Event::Resume { request, data, life, event } => {
                 if self.data[data].life == life {
                     self.go_on(request, data, event);
                 }
--- a/crates/startup/src/bounds.rs
+++ b/crates/startup/src/bounds.rs
@@ -61,7 +61,7 @@
     /// Extra goes of the fleet: per cent of asks, a second, and saved up.
     pub fn extra(&self) -> (u64, u64, u64) {
         if self.extra_window_ms == 0 {
-            return (EXTRA_GOES_PERCENT, EXTRA_GOES_PER_S, EXTRA_GOES_SAVED);
+            return (RETRY_PERCENT, RETRIES_PER_S, RETRIES_SAVED);
         }
         let per_s = self.extra_slack * 1_000 / self.extra_window_ms / 2;
         (self.extra_percent, per_s, self.extra_slack / 4)
--- a/deploy/sites/vary.py
+++ b/deploy/sites/vary.py
@@ -3,6 +3,7 @@
 
     deploy/sites/vary.py SITE OUT --name NAME [--every-trouble] [--zones N] [--core N] [--losses N]
         [--sync-ms X] [--core-cpu X] [--link-mbps X] [--twice] [--drawn-days N] [--seed S] [--troubles T]
+        [--kinds FILE]
 
 SITE is a site file as the bench reads it; OUT is written beside a copy of SITE's folder's wire.json.
 --every-trouble lets drawn days draw from every kind and variant that the contracts allow.
@@ -10,6 +11,8 @@
 --losses: core machines that may be lost at once. --twice: twice the machines and targets.
 --drawn-days: N days take the place of the standard ones, each with T troubles drawn by seed S from
 every kind and variant, at any moment, and a drawn closing fault.
+--kinds: what `fleetbench kinds SITE` printed; only kinds that it names are drawn, for a bench plays no
+others on that deployment.
 """
 import argparse
 import copy
@@ -101,11 +104,20 @@
 }
 
 
-def every_trouble(contracts):
+def listed_kinds(path):
+    """The kinds that a bench lists, each at the start of a line; none where no list is given."""
+    if path is None:
+        return None
+    with open(path) as file:
+        return {line.split(":")[0] for line in file if ":" in line and " " not in line.split(":")[0]}
+
+
+def every_trouble(contracts, listed):
     """Every kind and variant that these contracts allow, as entries of a site's list."""
     kinds = dict(TROUBLES)
     kinds.update(HEALTH if "health" in contracts else {})
     kinds.update(POOL if "pool" in contracts else {})
+    kinds = {kind: variants for kind, variants in kinds.items() if listed is None or kind in listed}
     entries = []
     for kind, variants in kinds.items():
         for how in variants:
@@ -170,11 +182,11 @@
 CLOSINGS += [("wipe_after_ack", how) for how in ("", "timed", "taken", "oldest", "oldest timed", "aimed")]
 
 
-def drawn_day(site, number, draw, troubles):
+def drawn_day(site, number, draw, troubles, listed):
     """One day with so many troubles; its marks are those of the first standard day."""
     first = site["day"][0]
     end_s = site["length_s"] - 3.0
-    entries = draw.sample(every_trouble(site["contracts"]), troubles)
+    entries = draw.sample(every_trouble(site["contracts"], listed), troubles)
     timed = [{"at": round(draw.uniform(1.0, end_s), 2), **entry} for entry in entries]
     timed += [{"at": round(draw.uniform(1.0, end_s), 2), "kind": "config_race", "count": 6, "gap_s": 1.5}]
     timed.sort(key=lambda entry: entry["at"])
@@ -236,6 +248,7 @@
     parser.add_argument("--drawn-days", type=int)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--troubles", type=int, default=9)
+    parser.add_argument("--kinds")
     given = parser.parse_args()
     with open(given.site, "rb") as file:
         site = tomllib.load(file)
@@ -252,12 +265,13 @@
             row["cpu_share"] = given.core_cpu or row["cpu_share"]
         else:
             row["link_mbps"] = given.link_mbps or row["link_mbps"]
+    listed = listed_kinds(given.kinds)
     if given.every_trouble:
-        site["troubles"] = every_trouble(site["contracts"])
+        site["troubles"] = every_trouble(site["contracts"], listed)
     if given.drawn_days:
         draw = random.Random(given.seed)
         numbers = range(1, given.drawn_days + 1)
-        site["day"] = [drawn_day(site, number, draw, given.troubles) for number in numbers]
+        site["day"] = [drawn_day(site, number, draw, given.troubles, listed) for number in numbers]
     folder = os.path.dirname(os.path.abspath(given.out))
     os.makedirs(folder, exist_ok=True)
     with open(given.out, "w") as file:
--- a/programs/data-plane/src/calls.rs
+++ b/programs/data-plane/src/calls.rs
@@ -3,7 +3,7 @@
 use crate::share::{Place, Shared};
 use facet::Facet;
 use postbarrow_constants::coordination::*;
-use postbarrow_constants::traffic::{COORDINATION_ASKS, RETRY_AFTER_S};
+use postbarrow_constants::traffic::{CALLS_AT_WORK, RETRY_AFTER_S};
 use postbarrow_downstream::client_watch::ClientWatch;
 use postbarrow_messages::{Request, Response};
 use postbarrow_node::TargetResponse;
@@ -91,7 +91,7 @@
         };
         return watch(shared, call, client);
     }
-    let Some(_place) = Place::take(&shared.calls, COORDINATION_ASKS) else {
+    let Some(_place) = Place::take(&shared.calls, CALLS_AT_WORK) else {
         return error(503, "this node is full");
     };
     let given = head.header("idempotency-key");
--- a/programs/data-plane/src/core.rs
+++ b/programs/data-plane/src/core.rs
@@ -75,7 +75,7 @@
                 Err(RecvTimeoutError::Timeout) => {}
             }
             if let Some((until_ms, done)) = &self.ending
-                && (self.node.open_asks() == 0 || clock_ms() >= *until_ms)
+                && (self.node.open_questions() == 0 || clock_ms() >= *until_ms)
             {
                 let _ = done.send(());
                 return;
--- a/programs/data-plane/src/dialect.rs
+++ b/programs/data-plane/src/dialect.rs
@@ -2,7 +2,7 @@
 use postbarrow_downstream::head::{Head, passed_on};
 use postbarrow_node::{TargetResponse, Verdict};
 
-/// The node's own calls, which are no asks for a target.
+/// The node's own calls, which are no requests for a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum OwnCall {
     Ready,
@@ -13,11 +13,11 @@
 #[derive(Debug, PartialEq)]
 pub enum Heard {
     Whole,
-    /// The target says that it did not run the ask, nor will.
+    /// The target says that it did not run the request, nor will.
     NotRun(String),
-    /// Not what a sound target sends; the ask may have run.
+    /// Not what a sound target sends; the request may have run.
     Unsound(String),
-    /// It belongs to an ask before this one.
+    /// It belongs to a request before this one.
     Another,
 }
 
@@ -26,7 +26,7 @@
     /// Headers for this target, with the milliseconds that are left.
     fn headers(&self, head: &Head, instance: &str, left_ms: u64) -> Vec<(String, String)>;
     fn heard(&self, head: &Head, response: &TargetResponse, first: bool) -> Heard;
-    /// Asks at work and waiting there, if the response tells.
+    /// Requests at work and waiting there, if the response tells.
     fn occupancy(&self, response: &TargetResponse) -> Option<u64>;
 }
 
@@ -35,9 +35,9 @@
     fn own_call(&self, head: &Head) -> Option<OwnCall>;
     /// How long the client waits, if it says, in milliseconds.
     fn wait_ms(&self, head: &Head) -> Option<u64>;
-    /// What makes two requests one ask.
+    /// What makes two requests the same one.
     fn key<'h>(&self, head: &'h Head) -> Option<&'h str>;
-    /// A response that ends an ask, for its client.
+    /// A response that ends a request, for its client.
     fn told(&self, verdict: Verdict) -> TargetResponse;
     /// A request that was not read whole, or not understood.
     fn refused(&self, status: u16, unsure: bool, why: &str) -> TargetResponse;
--- a/programs/data-plane/src/downstream/serve.rs
+++ b/programs/data-plane/src/downstream/serve.rs
@@ -55,7 +55,7 @@
     }
 }
 
-/// This go never ran; whether an earlier one under its key did, nobody here can say.
+/// This request never ran; whether an earlier one under its key did, nobody here can say.
 fn refuse(connection: &mut Connection, shared: &Shared, reject: Reject, unsure: bool) {
     if reject != body::CLIENT_LEFT {
         let response = shared.dialect.refused(reject.status, unsure, reject.why);
@@ -110,14 +110,14 @@
         let why = "the Idempotency-Key must be one of 1 to 200 printable characters, no colon";
         return Err(Unread::Rejected(Reject { status: 400, why }));
     }
-    let Some(_place) = Place::take(&shared.asks, ASKS) else {
+    let Some(_place) = Place::take(&shared.requests_at_work, REQUESTS_AT_WORK) else {
         return Err(turned(about, Told::Overloaded));
     };
     let client = shared.clients.of(connection.client());
-    let taken = shared.asks.load(Relaxed);
+    let taken = shared.requests_at_work.load(Relaxed);
     let (own, route) = (client.load(Relaxed), entry.made.limits.at_work() as usize);
-    if is_over_share(taken, own + 1, ASKS, CLIENT_SHARE_PERCENT)
-        || is_over_share(taken, route + 1, ASKS, ROUTE_SHARE_PERCENT)
+    if is_over_share(taken, own + 1, REQUESTS_AT_WORK, CLIENT_SHARE_PERCENT)
+        || is_over_share(taken, route + 1, REQUESTS_AT_WORK, ROUTE_SHARE_PERCENT)
     {
         return Err(turned(about, Told::Overloaded));
     }
--- a/programs/data-plane/src/forward.rs
+++ b/programs/data-plane/src/forward.rs
@@ -1,4 +1,4 @@
-//! One request on its way through this node: drives its course on the client's own thread.
+//! One request on its way through this node: drives its flow on the client's own thread.
 
 use crate::dialect::{Dialect, Heard, on_to_target};
 use crate::downstream::head::Head;
@@ -38,9 +38,9 @@
 
 /// Takes a request to its end.
 pub fn forward(shared: &Arc<Shared>, incoming: Incoming<'_>) -> Forwarded {
-    let (go, entry) = plan_course(shared, &incoming);
+    let (context, entry) = describe(shared, &incoming);
     let mut work = Work::new(shared, &incoming, &entry);
-    let mut course = Course::new(go, entry);
+    let mut flow = RequestFlow::new(context, entry);
     let mut event = Event::Start;
     loop {
         let table = shared.table.load_full();
@@ -51,7 +51,7 @@
             number: shared.number(),
             client_left: incoming.client.is_known_left(),
         };
-        event = match course.handle(&now, event) {
+        event = match flow.handle(&now, event) {
             Step::Connect { target, load, wait_ms } => work.connect(target, load, wait_ms),
             Step::AskTicket { ticket, wait_ms } => {
                 let request = Request::Ticket(ticket);
@@ -76,8 +76,8 @@
     }
 }
 
-/// What the course of a request is to know of it, and its route with one service drawn.
-fn plan_course(shared: &Shared, incoming: &Incoming<'_>) -> (Go, Arc<Entry>) {
+/// What the flow of a request is to know of it, and its route with one service drawn.
+fn describe(shared: &Shared, incoming: &Incoming<'_>) -> (RequestContext, Arc<Entry>) {
     let dialect = shared.dialect.as_ref();
     let seed = shared.own.incarnation ^ shared.number();
     let entry = incoming.entry.drawn(seed);
@@ -87,7 +87,7 @@
     let logged = dialect.named().is_none();
     let is_ticketed = logged && entry.route().kind == Kind::OneTime;
     let key = dialect.key(incoming.head);
-    let go = Go {
+    let context = RequestContext {
         key: match key {
             Some(key) => Name::from(key),
             None if is_ticketed => shared.made_key(),
@@ -101,10 +101,10 @@
         until_ms: client_until_ms.map_or(until_ms, |client_ms| until_ms.min(client_ms)),
         seed,
     };
-    (go, entry)
+    (context, entry)
 }
 
-/// What a course has in hand on this node.
+/// What a request has in hand on this node.
 struct Work<'a> {
     shared: &'a Arc<Shared>,
     incoming: &'a Incoming<'a>,
--- a/programs/data-plane/src/lib.rs
+++ b/programs/data-plane/src/lib.rs
@@ -1,4 +1,4 @@
-//! The data plane: takes asks, finds their route, passes each to a proved target.
+//! The data plane: takes requests, finds their route, passes each to a proved target.
 
 mod answer;
 mod calls;
@@ -92,7 +92,7 @@
         self.shared.own.http
     }
 
-    /// Unready first, then asks in flight finish, then the node ends.
+    /// Unready first, then requests in flight finish, then the node ends.
     pub fn stop(&self) {
         info!("node: stops");
         self.shared.stopping.store(true, SeqCst);
--- a/programs/data-plane/src/main.rs
+++ b/programs/data-plane/src/main.rs
@@ -3,7 +3,7 @@
 use postbarrow_startup::{Flags, Part, Startup, checked};
 use std::process::ExitCode;
 
-/// Takes asks over HTTP and passes each to a target that the plan in force allows.
+/// Takes requests over HTTP and passes each to a target that the plan in force allows.
 #[derive(Debug, Options)]
 struct Cli {
     #[options(help = "print help")]
--- a/programs/data-plane/src/share.rs
+++ b/programs/data-plane/src/share.rs
@@ -19,7 +19,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::*};
 use std::sync::mpsc::{Sender, sync_channel};
 
-/// What the threads of asks read: swapped whole or atomic, never locked.
+/// What the threads of requests read: swapped whole or atomic, never locked.
 pub struct Shared {
     pub own: Node,
     pub dialect: Arc<dyn Dialect>,
@@ -36,7 +36,7 @@
     seen: AtomicU64,
     pub clients: Clients,
     pub connections: Clients,
-    pub asks: AtomicUsize,
+    pub requests_at_work: AtomicUsize,
     pub calls: AtomicUsize,
     pub watches: AtomicUsize,
     pub downstreams: AtomicUsize,
@@ -69,7 +69,7 @@
             seen: AtomicU64::new(0),
             clients: Clients::default(),
             connections: Clients::default(),
-            asks: AtomicUsize::new(0),
+            requests_at_work: AtomicUsize::new(0),
             calls: AtomicUsize::new(0),
             watches: AtomicUsize::new(0),
             downstreams: AtomicUsize::new(0),
@@ -93,7 +93,7 @@
         self.number.fetch_add(1, Relaxed)
     }
 
-    /// Keeps a little of some asks, for rehearsals; of headers only what rules name.
+    /// Keeps a little of some requests, for rehearsals; of headers only what rules name.
     pub fn saw(&self, table: &Table, head: &Head) {
         self.seen.fetch_add(1, Relaxed);
         if self.samples.is_full() || head.path().len() > SAMPLE_BYTES {
@@ -123,7 +123,7 @@
         (samples, self.seen.swap(0, Relaxed))
     }
 
-    /// A key for an ask that came without one; no other ask gets it, and no client can guess it.
+    /// A key for a request that came without one; no other request gets it, and no client can guess it.
     pub fn made_key(&self) -> Name {
         let number = self.number();
         let mut hash = Sha256::new();
