--- a/review/2/run.py
+++ b/review/2/run.py
@@ -86,8 +86,4 @@
 
 
 if __name__ == "__main__":
-    try:
-        sys.exit(main())
-    except f.CannotRun as error:
-        print(f"can't run: {error}")
-        sys.exit(2)
+    f.run(main)
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -15,9 +15,11 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 # deploy/system.toml: the commands of the two roles.
@@ -450,3 +452,18 @@
     record.write(("BROKEN: " if broken else "held: ") + text)
     print(("BROKEN: " if broken else "held: ") + text)
     return 1 if broken else 0
+
+
+def run(main):
+    """Runs a case and ends with its status: 0 held, 1 broken, 2 for anything that keeps it from
+    running. A SIGTERM ends the processes that the case started, too."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    try:
+        status = main()
+    except CannotRun as error:
+        print(f"can't run: {error}")
+        status = 2
+    except Exception:
+        traceback.print_exc()
+        status = 2
+    sys.exit(status)
