Serve the readiness check at its own address only, and forward clients' requests

Cause: both listeners of a data node ran the same accept loop, and the dialect chose an endpoint of the node from the path alone, before any route.

Change: each listener has a role that stays with its connections. The native dialect keeps its reserved paths, whose names now stand once, in the constants.

--- a/crates/constants/src/traffic.rs
+++ b/crates/constants/src/traffic.rs
@@ -78,6 +78,10 @@
 pub const IDENTITY_TIMEOUT_MS: u64 = 800;
 /// Path at which a target proves its identity.
 pub const IDENTITY_PATH: &str = "/.well-known/postbarrow-target";
+/// Path at which a data node returns whether it is ready, in Postbarrow's own dialect.
+pub const READINESS_PATH: &str = "/ready";
+/// Beginning of the paths of coordination calls at a data node, in Postbarrow's own dialect.
+pub const COORDINATION_PREFIX: &str = "/coordination/";
 /// Value of the Retry-After header of the response to a shed request, in seconds like the header.
 pub const RETRY_AFTER_S: u64 = 1;
 /// Graceful shutdown: how long a process reports that it is unready before it closes its listener,
--- a/crates/plan/src/route_reader.rs
+++ b/crates/plan/src/route_reader.rs
@@ -2,6 +2,7 @@
 
 use crate::{ANY_METHOD, Pattern, limits_reader, route_options, weighted_services};
 use compact_str::CompactString;
+use postbarrow_constants::traffic::{COORDINATION_PREFIX, READINESS_PATH};
 use postbarrow_reading::{DocumentReader, Fields, Value, text};
 use postbarrow_rules::Rule;
 use postbarrow_state::{Name, Route, RouteKind, Service};
@@ -48,7 +49,7 @@
     if let Err(error) = Pattern::read(path) {
         reading.add_finding(&fields.path_of("path"), error.to_string());
     }
-    if path == "/ready" || path.starts_with("/coordination/") {
+    if path == READINESS_PATH || path.starts_with(COORDINATION_PREFIX) {
         reading.add_finding(&fields.path_of("path"), "is kept for the nodes themselves".into());
     }
     Some(CompactString::from(path))
--- a/programs/data-plane/src/coordination/read_call.rs
+++ b/programs/data-plane/src/coordination/read_call.rs
@@ -1,6 +1,7 @@
 //! Reads a coordination call from the method, path, query and JSON body of a request.
 
 use crate::error::CallError;
+use postbarrow_constants::traffic::COORDINATION_PREFIX;
 use postbarrow_downstream::head::Head;
 use postbarrow_reading::{DocumentReader, Fields};
 use postbarrow_state::{Call, Name, ResourceKind};
@@ -15,7 +16,7 @@
         [] => "{}",
         body => std::str::from_utf8(body).map_err(|_| CallError::NotUtf8)?,
     };
-    let path = head.path().strip_prefix("/coordination/").unwrap_or_default();
+    let path = head.path().strip_prefix(COORDINATION_PREFIX).unwrap_or_default();
     let (resource, name) = path.split_once('/').unwrap_or((path, ""));
     let name = unescape(name)?;
     let (value, mut reading) = DocumentReader::parse(text)?;
--- a/programs/data-plane/src/dialect.rs
+++ b/programs/data-plane/src/dialect.rs
@@ -5,9 +5,19 @@
 //! platform's dialect.
 
 use crate::json_response;
+use postbarrow_constants::traffic::{COORDINATION_PREFIX, READINESS_PATH};
 use postbarrow_downstream::head::{Head, end_to_end_headers};
 use postbarrow_node::{Completion, TargetResponse};
 
+/// The callers for whom a node listens at one of its addresses.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ListenerRole {
+    /// Clients, whose requests are forwarded by the routes of the plan in force.
+    Clients,
+    /// Load balancers that check whether the node is ready. No request is forwarded from here.
+    Readiness,
+}
+
 /// An endpoint that the node serves itself; a request to it is not forwarded to a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum NodeEndpoint {
@@ -51,9 +61,10 @@
 
 /// The paths, headers and response formats that the clients and targets of a node use.
 pub trait Dialect: Send + Sync {
-    /// Returns the endpoint of the node itself that the request is for, or `None` if a route must
-    /// match.
-    fn node_endpoint(&self, head: &Head) -> Option<NodeEndpoint>;
+    /// Returns the endpoint of the node itself that a request is for. With `None` a client's request
+    /// is forwarded by its route, and a request at another address is rejected with 404. An endpoint
+    /// for clients hides its path from all routes, so its dialect must reserve that path in plans.
+    fn node_endpoint(&self, listener: ListenerRole, head: &Head) -> Option<NodeEndpoint>;
     /// Returns how long the client waits for its response, in milliseconds, or `None` if the
     /// request does not state it.
     fn client_timeout_ms(&self, head: &Head) -> Option<u64>;
@@ -79,10 +90,12 @@
 pub struct NativeDialect;
 
 impl Dialect for NativeDialect {
-    fn node_endpoint(&self, head: &Head) -> Option<NodeEndpoint> {
+    fn node_endpoint(&self, listener: ListenerRole, head: &Head) -> Option<NodeEndpoint> {
         match head.path() {
-            "/ready" => Some(NodeEndpoint::Ready),
-            path if path.starts_with("/coordination/") => Some(NodeEndpoint::Coordination),
+            READINESS_PATH => Some(NodeEndpoint::Ready),
+            path if listener == ListenerRole::Clients && path.starts_with(COORDINATION_PREFIX) => {
+                Some(NodeEndpoint::Coordination)
+            }
             _ => None,
         }
     }
--- a/programs/data-plane/src/lib.rs
+++ b/programs/data-plane/src/lib.rs
@@ -34,7 +34,9 @@
 #[cfg(test)]
 mod tests;
 
-pub use dialect::{Dialect, NativeDialect, NodeEndpoint, ResponseJudgement, TargetIdentification};
+pub use dialect::{
+    Dialect, ListenerRole, NativeDialect, NodeEndpoint, ResponseJudgement, TargetIdentification,
+};
 
 use command::Command;
 use control_loop::ControlLoop;
@@ -108,9 +110,10 @@
             thread::Builder::new().name("probes".into()).spawn(move || probe::run(probe_shared))?;
         }
         if let Some(readiness_address) = startup.readiness {
-            accept::listen(TcpListener::bind(readiness_address)?, shared.clone())?;
+            let listener = TcpListener::bind(readiness_address)?;
+            accept::listen(listener, ListenerRole::Readiness, shared.clone())?;
         }
-        accept::listen(http, shared.clone())?;
+        accept::listen(http, ListenerRole::Clients, shared.clone())?;
         Ok(DataPlane { shared, stop_ms: startup.bounds.shutdown_times_ms() })
     }
 
--- a/programs/data-plane/src/phases/accept.rs
+++ b/programs/data-plane/src/phases/accept.rs
@@ -2,6 +2,7 @@
 
 use super::client_connection;
 use crate::admission::{Permit, admit_connection, release_connection};
+use crate::dialect::ListenerRole;
 use crate::shared::Shared;
 use log::warn;
 use postbarrow_constants::traffic::STACK_BYTES;
@@ -19,11 +20,12 @@
 /// exhausted.
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 
-/// Accepts connections on a new thread until the node is closed to new connections.
+/// Accepts connections on a new thread until the node is closed to new connections. `role` states
+/// which requests the connections may carry.
 ///
 /// # Errors
 /// Fails if the thread can't be started.
-pub fn listen(listener: TcpListener, shared: Arc<Shared>) -> io::Result<()> {
+pub fn listen(listener: TcpListener, role: ListenerRole, shared: Arc<Shared>) -> io::Result<()> {
     thread::Builder::new().name("downstream".into()).spawn(move || {
         for stream in listener.incoming() {
             let stream = match stream {
@@ -39,7 +41,7 @@
             }
             let Ok(client) = stream.peer_addr().map(|client| client.ip()) else { continue };
             if admit_connection(&shared.admission, client) {
-                spawn(stream, client, &shared);
+                spawn(stream, client, role, &shared);
             } else {
                 shed(stream);
             }
@@ -55,14 +57,14 @@
 }
 
 /// Serves an admitted connection on a new thread, and releases it afterwards.
-fn spawn(stream: TcpStream, client: IpAddr, shared: &Arc<Shared>) {
+fn spawn(stream: TcpStream, client: IpAddr, role: ListenerRole, shared: &Arc<Shared>) {
     let connection_shared = shared.clone();
     let spawned =
         thread::Builder::new().name("client".into()).stack_size(4 * STACK_BYTES).spawn(move || {
             let counters = &connection_shared.admission;
             let _permit = Permit::acquire(counters.connections_by_client.for_client(client));
             if let Ok(connection) = Connection::new(stream) {
-                client_connection::serve(connection, &connection_shared);
+                client_connection::serve(connection, role, &connection_shared);
             }
             release_connection(counters);
         });
--- a/programs/data-plane/src/phases/rejection.rs
+++ b/programs/data-plane/src/phases/rejection.rs
@@ -2,7 +2,7 @@
 //! reused.
 
 use crate::shared::Shared;
-use postbarrow_downstream::head::Reject;
+use postbarrow_downstream::head::{Head, Reject};
 use postbarrow_node::{Completion, ExecutionEvidence, RequestOutcome, TargetResponse};
 
 /// The rejection of a request before its body is read completely.
@@ -29,4 +29,12 @@
         let completion = Completion { outcome, evidence, key: None };
         Rejection::Decided(shared.dialect.render_completion(completion))
     }
+
+    /// Returns the rejection of a request that no endpoint and no route accepts, with this status
+    /// and reason. The request does not run, but with a key an earlier one may have run.
+    pub fn without_run(shared: &Shared, head: &Head, status: u16, reason: &str) -> Rejection {
+        let may_have_run_before = shared.dialect.idempotency_key(head).is_some();
+        let response = shared.dialect.render_rejection(status, may_have_run_before, reason);
+        Rejection::Decided(response)
+    }
 }
--- a/programs/data-plane/src/phases/request.rs
+++ b/programs/data-plane/src/phases/request.rs
@@ -8,7 +8,7 @@
 use super::rejection::Rejection;
 use super::request_state::{IncomingRequest, RequestEnd};
 use crate::coordination;
-use crate::dialect::NodeEndpoint;
+use crate::dialect::{ListenerRole, NodeEndpoint};
 use crate::readiness::readiness;
 use crate::shared::Shared;
 use postbarrow_constants::traffic::HEAD_BYTES;
@@ -17,19 +17,35 @@
 use postbarrow_transport::clock_ms;
 use std::sync::Arc;
 
-/// Processes a request whose head was read, and returns how it ended.
+/// Processes a request whose head was read at an address with this role, and returns how it ended.
 ///
 /// # Errors
 /// Returns the rejection of a request whose body was not read completely.
 pub fn process(
     connection: &mut Connection,
+    role: ListenerRole,
     shared: &Arc<Shared>,
     head: &Head,
 ) -> Result<RequestEnd, Rejection> {
-    let arrived_ms = clock_ms();
-    if let Some(endpoint) = shared.dialect.node_endpoint(head) {
-        return serve_node_endpoint(connection, shared, head, endpoint);
+    match (shared.dialect.node_endpoint(role, head), role) {
+        (Some(endpoint), _) => serve_node_endpoint(connection, shared, head, endpoint),
+        (None, ListenerRole::Clients) => serve_route(connection, shared, head),
+        (None, ListenerRole::Readiness) => Err(Rejection::without_run(
+            shared,
+            head,
+            404,
+            "only the readiness check is served here",
+        )),
     }
+}
+
+/// Forwards a client's request to a target of its route.
+fn serve_route(
+    connection: &mut Connection,
+    shared: &Arc<Shared>,
+    head: &Head,
+) -> Result<RequestEnd, Rejection> {
+    let arrived_ms = clock_ms();
     let route = match_route(shared, head)?;
     let _permits = admit(shared, &route, head, connection.client())?;
     let body = read_route_body(connection, shared, head, &route, arrived_ms)?;
--- a/programs/data-plane/src/tests/mod.rs
+++ b/programs/data-plane/src/tests/mod.rs
@@ -5,6 +5,7 @@
 mod execution_evidence;
 mod library_behaviour;
 mod named_targets;
+mod node_endpoints;
 mod requests;
 mod responses;
 mod rig;
--- a/programs/data-plane/src/tests/named_targets.rs
+++ b/programs/data-plane/src/tests/named_targets.rs
@@ -1,7 +1,7 @@
 //! Tests of a dialect in which each request names its target.
 
 use super::rig::*;
-use crate::{Dialect, NodeEndpoint, ResponseJudgement, TargetIdentification};
+use crate::{Dialect, ListenerRole, NodeEndpoint, ResponseJudgement, TargetIdentification};
 use postbarrow_downstream::head::Head;
 use postbarrow_node::{Completion, RequestOutcome, TargetResponse};
 use std::sync::Arc;
@@ -16,7 +16,7 @@
 }
 
 impl Dialect for RequestIdDialect {
-    fn node_endpoint(&self, _head: &Head) -> Option<NodeEndpoint> {
+    fn node_endpoint(&self, _listener: ListenerRole, _head: &Head) -> Option<NodeEndpoint> {
         None
     }
     fn client_timeout_ms(&self, head: &Head) -> Option<u64> {
--- a/programs/data-plane/src/tests/rig.rs
+++ b/programs/data-plane/src/tests/rig.rs
@@ -1,6 +1,7 @@
 //! The node under test, with a controller that the test scripts.
 
 pub use super::scripted::*;
+use crate::ListenerRole;
 use crate::command::Command;
 use crate::phases::accept;
 use crate::shared::Shared;
@@ -46,6 +47,26 @@
     }
 }
 
+/// Returns a route to service `s` with the default deadline and without limits.
+fn route(path: &str, method: &str, kind: RouteKind) -> Route {
+    Route {
+        path: path.into(),
+        methods: vec![method.into()],
+        kind,
+        service: "s".into(),
+        when: None,
+        body_bytes: if path.starts_with("/large") { LARGE_BYTES } else { 1_000 },
+        rate_per_s: None,
+        concurrency: None,
+        deadline_ms: DEADLINE_MS,
+        host: None,
+        weighted_services: Vec::new(),
+        max_attempts: None,
+        latency_target_ms: None,
+        priority: 0,
+    }
+}
+
 impl Rig {
     pub fn new(
         targets: Vec<Target>,
@@ -86,7 +107,7 @@
         let rig = Rig { shared, http, requested, withdrawn };
         rig.publish(targets);
         rig.shared.lease.set_until(u64::MAX);
-        accept::listen(listener, rig.shared.clone()).unwrap();
+        accept::listen(listener, ListenerRole::Clients, rig.shared.clone()).unwrap();
         rig
     }
 
@@ -97,6 +118,23 @@
 
     /// Publishes these targets and the test routes, with this deadline for the routes.
     pub fn publish_with(&self, targets: Vec<Target>, deadline_ms: u64) {
+        let routes = [
+            route("/look/*", "GET", RouteKind::Lookup),
+            route("/post/*", "POST", RouteKind::OneTime),
+            route("/large/*", "PUT", RouteKind::Lookup),
+            route("/large/*", "POST", RouteKind::OneTime),
+        ];
+        self.publish_routes(targets, routes.map(|route| Route { deadline_ms, ..route }).to_vec());
+    }
+
+    /// Publishes these targets, and routes whose wildcards cover every path and method.
+    pub fn publish_wildcard_routes(&self, targets: Vec<Target>) {
+        let routes =
+            vec![route("/*", "GET", RouteKind::Lookup), route("/*", "*", RouteKind::OneTime)];
+        self.publish_routes(targets, routes);
+    }
+
+    fn publish_routes(&self, targets: Vec<Target>, routes: Vec<Route>) {
         let mut state = State::default();
         let plan = PlanHead { version: "v1".into(), base: None, offset: 1 };
         state.plan = Some(Arc::new(plan));
@@ -105,26 +143,7 @@
             let service = Service { name: service.into(), labels };
             state.services.insert(service.name.clone(), Arc::new(service));
         }
-        let route = |path: &str, method: &str, kind, service: &str| Route {
-            path: path.into(),
-            methods: vec![method.into()],
-            kind,
-            service: service.into(),
-            when: None,
-            body_bytes: if path.starts_with("/large") { LARGE_BYTES } else { 1_000 },
-            rate_per_s: None,
-            concurrency: None,
-            deadline_ms,
-            host: None,
-            weighted_services: Vec::new(),
-            max_attempts: None,
-            latency_target_ms: None,
-            priority: 0,
-        };
-        state.routes.push_back(Arc::new(route("/look/*", "GET", RouteKind::Lookup, "s")));
-        state.routes.push_back(Arc::new(route("/post/*", "POST", RouteKind::OneTime, "s")));
-        state.routes.push_back(Arc::new(route("/large/*", "PUT", RouteKind::Lookup, "s")));
-        state.routes.push_back(Arc::new(route("/large/*", "POST", RouteKind::OneTime, "s")));
+        state.routes.extend(routes.into_iter().map(Arc::new));
         for target in targets {
             state.targets.insert(target.instance.clone(), Arc::new(target));
         }
@@ -141,19 +160,7 @@
     /// sending side, and returns all bytes received. A client that closes earlier would count as
     /// departed.
     pub fn send_until_responses(&self, bytes: &[u8], responses: usize) -> String {
-        let mut stream = TcpStream::connect(self.http).unwrap();
-        stream.write_all(bytes).unwrap();
-        let mut received = Vec::new();
-        let mut chunk = [0; 4096];
-        while complete_responses(&received) < responses {
-            match stream.read(&mut chunk) {
-                Ok(0) | Err(_) => break,
-                Ok(length) => received.extend_from_slice(&chunk[..length]),
-            }
-        }
-        let _ = stream.shutdown(Shutdown::Write);
-        let _ = stream.read_to_end(&mut received);
-        String::from_utf8_lossy(&received).into_owned()
+        send_to(self.http, bytes, responses)
     }
 
     /// Sends bytes, closes the sending side at once, and returns what the node still sends.
@@ -198,6 +205,23 @@
     }
 }
 
+/// Sends requests as [`Rig::send_until_responses`] does, to one of the node's addresses.
+pub fn send_to(address: SocketAddr, bytes: &[u8], responses: usize) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(bytes).unwrap();
+    let mut received = Vec::new();
+    let mut chunk = [0; 4096];
+    while complete_responses(&received) < responses {
+        match stream.read(&mut chunk) {
+            Ok(0) | Err(_) => break,
+            Ok(length) => received.extend_from_slice(&chunk[..length]),
+        }
+    }
+    let _ = stream.shutdown(Shutdown::Write);
+    let _ = stream.read_to_end(&mut received);
+    String::from_utf8_lossy(&received).into_owned()
+}
+
 /// Returns the number of complete responses in the bytes; a response without Content-Length has no
 /// body.
 fn complete_responses(mut received: &[u8]) -> usize {
