Reject methods other than GET and HEAD at the readiness check as not run

What callers saw, in the native dialect: POST /ready got 200 although nothing ran, also where a wildcard route covers that path.

Change: 405 with Allow, and `not-run` unless a key may have run before.

Evidence: readiness_check_rejects_other_methods_as_not_run failed without the check (POST: HTTP/1.1 200 OK) and passes with it, at both kinds of address, on new and kept connections.

--- a/programs/data-plane/src/phases/rejection.rs
+++ b/programs/data-plane/src/phases/rejection.rs
@@ -37,4 +37,12 @@
         let response = shared.dialect.render_rejection(status, may_have_run_before, reason);
         Rejection::Decided(response)
     }
+
+    /// Adds a header to the response of a decided rejection.
+    pub fn with_header(mut self, name: &str, value: &str) -> Rejection {
+        if let Rejection::Decided(response) = &mut self {
+            response.headers.push((name.into(), value.into()));
+        }
+        self
+    }
 }
--- a/programs/data-plane/src/phases/request.rs
+++ b/programs/data-plane/src/phases/request.rs
@@ -9,7 +9,7 @@
 use super::request_state::{IncomingRequest, RequestEnd};
 use crate::coordination;
 use crate::dialect::{ListenerRole, NodeEndpoint};
-use crate::readiness::readiness;
+use crate::readiness::{READINESS_METHODS, readiness};
 use crate::shared::Shared;
 use postbarrow_constants::traffic::HEAD_BYTES;
 use postbarrow_downstream::connection::Connection;
@@ -71,6 +71,7 @@
 ) -> Result<RequestEnd, Rejection> {
     let response = match endpoint {
         NodeEndpoint::Ready => {
+            check_readiness_method(shared, head)?;
             read_node_body(connection, shared, head, HEAD_BYTES as u64)?;
             readiness(shared)
         }
@@ -81,3 +82,14 @@
     };
     Ok(RequestEnd::Respond(response, None))
 }
+
+/// Rejects a request to the readiness endpoint with a method other than those of
+/// [`READINESS_METHODS`]: a success would state that the request had an effect.
+fn check_readiness_method(shared: &Shared, head: &Head) -> Result<(), Rejection> {
+    if READINESS_METHODS.contains(&head.method.as_str()) {
+        return Ok(());
+    }
+    let reason = "the readiness check has another method";
+    let rejection = Rejection::without_run(shared, head, 405, reason);
+    Err(rejection.with_header("Allow", &READINESS_METHODS.join(", ")))
+}
--- a/programs/data-plane/src/readiness.rs
+++ b/programs/data-plane/src/readiness.rs
@@ -5,6 +5,9 @@
 use facet::Facet;
 use postbarrow_node::TargetResponse;
 
+/// The methods of the readiness endpoint.
+pub const READINESS_METHODS: [&str; 2] = ["GET", "HEAD"];
+
 #[derive(Facet)]
 struct Readiness {
     ready: bool,
--- a/programs/data-plane/src/tests/node_endpoints.rs
+++ b/programs/data-plane/src/tests/node_endpoints.rs
@@ -6,6 +6,8 @@
 use postbarrow_downstream::head::{Head, parse};
 use std::net::{SocketAddr, TcpListener};
 
+const METHODS_WITHOUT_READINESS: [&str; 5] = ["POST", "PUT", "DELETE", "OPTIONS", "PATCH"];
+
 /// Starts a node whose wildcard routes cover every path, with an address for readiness checks.
 fn setup() -> (ScriptedTarget, Rig, SocketAddr) {
     let scripted = ScriptedTarget::start("s-1", "s", vec![Script::Complete("from the target")]);
@@ -26,6 +28,28 @@
     format!("{method} {path} HTTP/1.1\r\nHost: h\r\n{more}\r\n").into_bytes()
 }
 
+/// Guards against a success for a request that the node neither ran nor forwarded: the readiness
+/// check accepted every method.
+#[test]
+fn readiness_check_rejects_other_methods_as_not_run() {
+    let (scripted, rig, readiness) = setup();
+    for address in [rig.http, readiness] {
+        for method in METHODS_WITHOUT_READINESS {
+            let kept = [bytes("GET", "/ready", ""), bytes(method, "/ready", "")].concat();
+            let replies = send_to(address, &kept, 2);
+            assert!(replies.starts_with("HTTP/1.1 200"), "{method}: {replies}");
+            assert_eq!(replies.matches("HTTP/1.1 405").count(), 1, "{method}: {replies}");
+            assert!(replies.contains("Allow: GET, HEAD"), "{method}: {replies}");
+            assert!(replies.contains("Postbarrow-Outcome: not-run"), "{method}: {replies}");
+        }
+        let keyed = send_to(address, &bytes("POST", "/ready", "Idempotency-Key: k\r\n"), 1);
+        assert!(keyed.contains("Postbarrow-Outcome: unknown"), "{keyed}");
+        let checked = send_to(address, &bytes("HEAD", "/ready", "Connection: close\r\n"), 1);
+        assert!(checked.starts_with("HTTP/1.1 200") && checked.ends_with("\r\n\r\n"), "{checked}");
+    }
+    assert_eq!(scripted.runs(), 0);
+}
+
 /// Guards against requests that are forwarded, or executed by the controller, from an address that
 /// is not the clients'.
 #[test]
--- a/programs/data-plane/tests/surface.rs
+++ b/programs/data-plane/tests/surface.rs
@@ -28,6 +28,7 @@
     let address = node.http();
     let requests = [
         ("GET", "/ready"),
+        ("POST", "/ready"),
         ("GET", "/elsewhere"),
         ("POST", "/coordination/locks/a"),
         ("PUT", "/coordination/locks/a"),
