Split the scripted targets of the data plane's tests by concern

Observer, Trigger and UnreadingTarget have modules of their own now, and a reset is set through socket2 as elsewhere.

--- a/programs/data-plane/src/tests/scripted.rs
+++ b/programs/data-plane/src/tests/scripted.rs
@@ -1,12 +1,19 @@
 //! Targets on real sockets that respond by a script.
 
+mod observer;
+mod trigger;
+mod unreading_target;
+
+pub use observer::{Observer, observations};
+pub use trigger::{Trigger, TriggerSignal, trigger};
+pub use unreading_target::UnreadingTarget;
+
 use postbarrow_constants::traffic::IDENTITY_PATH;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::AsRawFd;
-use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
 
 /// The requests that a scripted target received, other than identity requests, and the number of
 /// its connections.
@@ -39,67 +46,9 @@
     Hang(Observer),
 }
 
-/// Reports the start and the end of a request to which a target never responds; owned by the
-/// target.
-#[derive(Clone)]
-pub struct Observer {
-    began: Sender<()>,
-    ended: Sender<()>,
-}
-
-/// Receives the reports of an [`Observer`]; owned by the test.
-pub struct Observations {
-    pub began: Receiver<()>,
-    pub ended: Receiver<()>,
-}
-
 /// The observer of a target that never answers identity requests; `None` for a target that does.
 pub type Unidentified = Option<Observer>;
 
-/// A target that identifies itself, then reads only the first bytes of a request until the test
-/// lets it read the rest.
-pub struct UnreadingTarget {
-    pub address: SocketAddr,
-    /// Receives a message once the first bytes of a request have arrived.
-    pub began: Receiver<()>,
-    resume: Sender<()>,
-    /// Receives the length of the complete body, or `None` if the connection broke before.
-    body_bytes: Receiver<Option<usize>>,
-}
-
-impl UnreadingTarget {
-    pub fn start(instance: &'static str, service: &'static str) -> UnreadingTarget {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let ((began_sender, began), (resume, may_read), (body_bytes_sender, body_bytes)) =
-            (channel(), channel(), channel());
-        thread::spawn(move || {
-            let (mut stream, _) = listener.accept().unwrap();
-            let mut buffer = Vec::new();
-            let (head, _) = read_request(&mut stream, &mut buffer)
-                .expect("an identity request must come first");
-            assert!(head.contains(IDENTITY_PATH), "{head}");
-            stream.write_all(complete(&identity(instance, service)).as_bytes()).unwrap();
-            let mut first = [0; 4];
-            stream.read_exact(&mut first).unwrap();
-            let _ = began_sender.send(());
-            let _ = may_read.recv();
-            buffer.extend_from_slice(&first);
-            let request = read_request(&mut stream, &mut buffer);
-            let _ = body_bytes_sender.send(request.map(|(_, body)| body.len()));
-            let _ = stream.write_all(complete("done").as_bytes());
-        });
-        UnreadingTarget { address, began, resume, body_bytes }
-    }
-
-    /// Lets the target read the rest of the request. Returns the length of the complete body, or
-    /// `None` if the connection broke before.
-    pub fn resume_reading(&self) -> Option<usize> {
-        self.resume.send(()).unwrap();
-        self.body_bytes.recv().unwrap()
-    }
-}
-
 /// Returns the JSON identity of a target.
 fn identity(instance: &str, service: &str) -> String {
     format!(
@@ -107,65 +56,10 @@
     )
 }
 
-/// Returns a connected pair of observations and observer.
-pub fn observations() -> (Observations, Observer) {
-    let ((began, on_began), (ended, on_ended)) = (channel(), channel());
-    (Observations { began: on_began, ended: on_ended }, Observer { began, ended })
-}
-
-impl Observer {
-    /// Reports the start, reads and discards bytes until the connection ends, and reports the end.
-    fn hang(&self, stream: &mut TcpStream) {
-        let _ = self.began.send(());
-        let mut chunk = [0; 4096];
-        while matches!(stream.read(&mut chunk), Ok(length) if length > 0) {}
-        let _ = self.ended.send(());
-    }
-}
-
-/// The target's side of a [`Trigger`].
-#[derive(Clone)]
-pub struct TriggerSignal {
-    proceed: Arc<Mutex<Receiver<()>>>,
-    done: Sender<()>,
-}
-
-/// Triggers one action of a target; owned by the test.
-pub struct Trigger {
-    proceed: Sender<()>,
-    done: Receiver<()>,
-}
-
-/// Returns a trigger and its receiving side.
-pub fn trigger() -> (Trigger, TriggerSignal) {
-    let ((proceed, on_proceed), (done, on_done)) = (channel(), channel());
-    let signal = TriggerSignal { proceed: Arc::new(Mutex::new(on_proceed)), done };
-    (Trigger { proceed, done: on_done }, signal)
-}
-
-impl Trigger {
-    /// Triggers the target's action and waits until it is done.
-    pub fn fire(&self) {
-        self.proceed.send(()).unwrap();
-        self.done.recv().unwrap();
-    }
-}
-
-impl TriggerSignal {
-    /// Waits until the test triggers the action.
-    fn wait(&self) {
-        let _ = self.proceed.lock().unwrap().recv();
-    }
-}
-
 /// Closes a connection with a reset (TCP RST) instead of a FIN.
 fn reset(stream: TcpStream) {
-    let linger = libc::linger { l_onoff: 1, l_linger: 0 };
-    let size = size_of::<libc::linger>() as libc::socklen_t;
-    let (level, option) = (libc::SOL_SOCKET, libc::SO_LINGER);
-    let value = std::ptr::from_ref(&linger).cast();
-    let set = unsafe { libc::setsockopt(stream.as_raw_fd(), level, option, value, size) };
-    assert_eq!(set, 0, "setsockopt SO_LINGER failed");
+    let lingering = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+    lingering.expect("the linger time is set");
 }
 
 /// A target on a real socket that identifies itself and then responds to each request by its
@@ -285,13 +179,13 @@
                 stream.write_all(&first).unwrap();
                 signal.wait();
                 let _ = stream.write_all(&second);
-                let _ = signal.done.send(());
+                signal.report_done();
             }
             Script::DelayedReset(first, signal) => {
                 stream.write_all(&first).unwrap();
                 signal.wait();
                 reset(stream);
-                let _ = signal.done.send(());
+                signal.report_done();
                 return;
             }
             Script::Hang(observer) => return observer.hang(&mut stream),
