--- a/crates/consensus/tests/exhaustive.rs
+++ b/crates/consensus/tests/exhaustive.rs
@@ -111,7 +111,7 @@
 fn elections_with_slow_syncs_and_restarts_are_safe() {
     let remaining = Bounds { ticks: 3, crashes: 1, delays: 1, slow_disks: 1, ..Bounds::default() };
     let mut prepared = Prepared::started();
-    prepared.perform(Action::Advance(ELECTION_MIN_MS + ELECTION_SPREAD_MS));
+    prepared.advance_election_timeout();
     capped_model("votes and syncs", rules()).search(prepared.with_bounds(remaining));
 }
 
@@ -119,9 +119,7 @@
 /// may campaign in the same term.
 fn two_candidates() -> Prepared {
     let mut prepared = Prepared::started();
-    prepared
-        .perform(Action::Advance(ELECTION_MIN_MS + ELECTION_SPREAD_MS))
-        .perform(Action::Tick(1));
+    prepared.advance_election_timeout().perform(Action::Tick(1));
     prepared.deliver_except(|message| matches!(message, Message::PreVoteResponse { .. }));
     prepared.perform(Action::Isolate(Isolation { at: 1, paused: true }));
     prepared.perform(Action::Advance(ELECTION_SPREAD_MS));
@@ -149,7 +147,7 @@
     prepared.perform(Action::Advance(HEARTBEAT_MS)).perform(Action::Tick(0));
     prepared.deliver_except(|message| matches!(message, Message::AppendResponse(_)));
     prepared.perform(Action::Isolate(Isolation { at: 0, paused: true }));
-    prepared.perform(Action::Advance(ELECTION_MIN_MS + ELECTION_SPREAD_MS));
+    prepared.advance_election_timeout();
     let remaining = Bounds { ticks: 2, advances: 1, crashes: 1, proposals: 1, ..Bounds::default() };
     let rules = Rules { steps_ms: vec![HEARTBEAT_MS], ..rules() };
     model("late responses", rules).search(prepared.with_bounds(remaining));
@@ -160,10 +158,8 @@
 #[test]
 fn votes_withheld_after_a_leader_contact_are_safe() {
     let mut prepared = Prepared::with_leader();
-    prepared.perform(Action::Isolate(Isolation { at: 2, paused: false }));
-    prepared
-        .perform(Action::Advance(ELECTION_MIN_MS + ELECTION_SPREAD_MS))
-        .perform(Action::Tick(0));
+    prepared.isolate(2);
+    prepared.advance_election_timeout().perform(Action::Tick(0));
     prepared.deliver_all().perform(Action::Rejoin);
     let remaining = Bounds { ticks: 2, crashes: 2, pauses: 1, delays: 1, ..Bounds::default() };
     model("withheld vote", rules()).search(prepared.with_bounds(remaining));
@@ -173,13 +169,8 @@
 #[test]
 fn an_entry_of_an_old_term_is_overwritten_safely() {
     let mut prepared = Prepared::with_leader();
-    prepared
-        .perform(Action::Isolate(Isolation { at: 0, paused: false }))
-        .perform(Action::Propose(0))
-        .deliver_all();
-    prepared
-        .perform(Action::Advance(ELECTION_MIN_MS + ELECTION_SPREAD_MS))
-        .perform(Action::Tick(1));
+    prepared.isolate(0).perform(Action::Propose(0)).deliver_all();
+    prepared.advance_election_timeout().perform(Action::Tick(1));
     prepared.deliver_all().perform(Action::Rejoin);
     let remaining = Bounds {
         ticks: 2,
@@ -198,19 +189,14 @@
 #[test]
 fn an_entry_of_an_old_term_is_not_committed_by_count() {
     let mut prepared = Prepared::with_leader();
-    prepared
-        .perform(Action::Isolate(Isolation { at: 0, paused: false }))
-        .perform(Action::Propose(0))
-        .deliver_all();
-    prepared
-        .perform(Action::Advance(ELECTION_MIN_MS + ELECTION_SPREAD_MS))
-        .perform(Action::Tick(2));
+    prepared.isolate(0).perform(Action::Propose(0)).deliver_all();
+    prepared.advance_election_timeout().perform(Action::Tick(2));
     prepared.deliver_except(|message| matches!(message, Message::Append(_)));
     prepared.world.out_of_order.clear();
-    prepared.perform(Action::Rejoin).perform(Action::Isolate(Isolation { at: 2, paused: false }));
+    prepared.perform(Action::Rejoin).isolate(2);
     prepared.perform(Action::Crash(0)).perform(Action::Crash(2));
     for _ in 0..2 {
-        prepared.perform(Action::Advance(ELECTION_MIN_MS + ELECTION_SPREAD_MS));
+        prepared.advance_election_timeout();
         prepared.perform(Action::SlowDisk(0)).perform(Action::Tick(0)).deliver_all();
         prepared.perform(Action::Sync(0)).deliver_all();
     }
@@ -242,17 +228,14 @@
 #[test]
 fn a_snapshot_for_a_lagging_follower_is_safe() {
     let mut prepared = Prepared::with_leader();
-    prepared
-        .perform(Action::Isolate(Isolation { at: 2, paused: false }))
-        .perform(Action::Propose(0))
-        .deliver_all();
+    prepared.isolate(2).perform(Action::Propose(0)).deliver_all();
     prepared
         .heartbeat(&[2])
         .perform(Action::Compact(0))
         .perform(Action::Compact(1))
         .perform(Action::Rejoin);
     prepared.perform(Action::Crash(0)).perform(Action::Crash(1));
-    prepared.perform(Action::Advance(ELECTION_MIN_MS + ELECTION_SPREAD_MS));
+    prepared.advance_election_timeout();
     let remaining = Bounds {
         ticks: 3,
         advances: 2,
--- a/crates/consensus/tests/exhaustive/prepare.rs
+++ b/crates/consensus/tests/exhaustive/prepare.rs
@@ -44,7 +44,7 @@
     /// renewed.
     pub fn with_leader() -> Prepared {
         let mut prepared = Prepared::started();
-        prepared.perform(Action::Advance(ELECTION_MIN_MS + ELECTION_SPREAD_MS));
+        prepared.advance_election_timeout();
         prepared.perform(Action::Tick(0));
         prepared.deliver_all();
         prepared.heartbeat(&[]);
@@ -58,6 +58,16 @@
         self
     }
 
+    /// Partitions a machine from all others.
+    pub fn isolate(&mut self, at: usize) -> &mut Self {
+        self.perform(Action::Isolate(Isolation { at, paused: false }))
+    }
+
+    /// Advances all clocks by the longest election timeout.
+    pub fn advance_election_timeout(&mut self) -> &mut Self {
+        self.perform(Action::Advance(ELECTION_MIN_MS + ELECTION_SPREAD_MS))
+    }
+
     /// Delivers all messages in flight, in the order in which they were sent.
     pub fn deliver_all(&mut self) -> &mut Self {
         while !self.world.in_flight.is_empty() {
