--- a/crates/consensus/tests/cluster/mod.rs
+++ b/crates/consensus/tests/cluster/mod.rs
@@ -1,22 +1,21 @@
 //! Three simulated members on one clock; tests set the speeds of their disks and links.
 #![allow(dead_code)]
 
+#[path = "../fixture/mod.rs"]
+mod fixture;
 mod machine_parts;
+pub use fixture::member;
 pub use machine_parts::{Applied, FAST, SLOW, Speed};
 
+use fixture::{VOTERS, recovered_voter};
 use machine_parts::*;
 use postbarrow_consensus::*;
 use std::collections::{BTreeMap, VecDeque};
-use std::sync::Arc;
 
-pub const MEMBERS: u64 = 3;
+pub const MEMBERS: u64 = VOTERS;
 const LINK_DELAY_US: u64 = 500;
 const TICK_US: u64 = 20_000;
 
-pub fn member(id: u64) -> Member {
-    Member { id, address: format!("10.0.0.{id}:1").parse().unwrap() }
-}
-
 /// A function of the sender's id, the recipient's id and the message, which returns whether the
 /// frame is lost.
 pub type DropsFrame = Box<dyn FnMut(u64, u64, &Message) -> bool>;
@@ -75,10 +74,7 @@
 
 impl Cluster {
     pub fn new(compact_bytes: u64, state_bytes: usize) -> Cluster {
-        let members: Vec<Member> = (1..=MEMBERS).map(member).collect();
-        let snapshot = Arc::new(Snapshot { index: 0, term: 0, members, state: Vec::new() });
-        let durable = RecoveredState { snapshot: Some(snapshot), ..RecoveredState::default() };
-        let machine = |id| (id, Machine { durable: durable.clone(), ..Machine::default() });
+        let machine = |id| (id, Machine { durable: recovered_voter(), ..Machine::default() });
         let mut cluster = Cluster {
             now_us: 1_000_000,
             machines: (1..=MEMBERS).map(machine).collect(),
--- a/crates/consensus/tests/disk_health.rs
+++ b/crates/consensus/tests/disk_health.rs
@@ -1,13 +1,11 @@
 //! A member with a stalled disk neither votes nor campaigns; if it leads, it transfers leadership or
 //! steps down.
 
+mod fixture;
+
+use fixture::{member, recovered_voter};
 use postbarrow_consensus::*;
 use postbarrow_constants::consensus::*;
-use std::sync::Arc;
-
-fn member(id: u64) -> Member {
-    Member { id, address: format!("10.0.0.{id}:1").parse().unwrap() }
-}
 
 /// Three voters with immediate delivery of frames and immediate syncs, except that the writes of a
 /// stalled disk stay pending.
@@ -27,10 +25,7 @@
 
 impl ThreeVoters {
     fn led_by_member_1() -> ThreeVoters {
-        let members: Vec<Member> = (1..=3).map(member).collect();
-        let snapshot = Arc::new(Snapshot { index: 0, term: 0, members, state: Vec::new() });
-        let recovered = RecoveredState { snapshot: Some(snapshot), ..RecoveredState::default() };
-        let consensus = |id| Consensus::new(id, recovered.clone(), 7 + id, 1_000);
+        let consensus = |id| Consensus::new(id, recovered_voter(), 7 + id, 1_000);
         let nodes = (1..=3).map(consensus).collect();
         let mut cluster = ThreeVoters {
             nodes,
--- a/crates/consensus/tests/durable.rs
+++ b/crates/consensus/tests/durable.rs
@@ -1,10 +1,9 @@
 //! A member acknowledges a snapshot or an entry only once it is on the member's disk.
 
-use postbarrow_consensus::*;
+mod fixture;
 
-fn member(id: u64) -> Member {
-    Member { id, address: format!("10.0.0.{id}:1").parse().unwrap() }
-}
+use fixture::member;
+use postbarrow_consensus::*;
 
 fn sent_count(effects: &[Effect]) -> usize {
     effects.iter().filter(|effect| matches!(effect, Effect::Send { .. })).count()
--- a/crates/consensus/tests/leadership_transfer.rs
+++ b/crates/consensus/tests/leadership_transfer.rs
@@ -1,11 +1,9 @@
 //! Leadership transfer by a TimeoutNow message.
 
-use postbarrow_consensus::*;
-use std::sync::Arc;
+mod fixture;
 
-fn member(id: u64) -> Member {
-    Member { id, address: format!("10.0.0.{id}:1").parse().unwrap() }
-}
+use fixture::{member, recovered_voter};
+use postbarrow_consensus::*;
 
 /// Three voters with immediate delivery of frames and immediate syncs.
 struct ThreeVoters {
@@ -17,10 +15,7 @@
 
 impl ThreeVoters {
     fn led_by_member_1() -> ThreeVoters {
-        let members: Vec<Member> = (1..=3).map(member).collect();
-        let snapshot = Arc::new(Snapshot { index: 0, term: 0, members, state: Vec::new() });
-        let recovered = RecoveredState { snapshot: Some(snapshot), ..RecoveredState::default() };
-        let consensus = |id| Consensus::new(id, recovered.clone(), 7, 1_000);
+        let consensus = |id| Consensus::new(id, recovered_voter(), 7, 1_000);
         let mut cluster = ThreeVoters {
             nodes: (1..=3).map(consensus).collect(),
             now_ms: 10_000,
--- a/crates/consensus/tests/members.rs
+++ b/crates/consensus/tests/members.rs
@@ -1,12 +1,10 @@
 //! Membership changes: when a learner replaces an unresponsive voter.
 
+mod fixture;
+
+use fixture::{member, recovered_voter};
 use postbarrow_consensus::*;
 use postbarrow_constants::consensus::*;
-use std::sync::Arc;
-
-fn member(id: u64) -> Member {
-    Member { id, address: format!("10.0.0.{id}:1").parse().unwrap() }
-}
 
 /// Member 1 of three voters, which leads. Member 2 has been unresponsive for longer than the
 /// dead-voter timeout, and member 3 responds.
@@ -17,12 +15,8 @@
 
 impl LeaderHarness {
     fn new() -> LeaderHarness {
-        let members = (1..=3).map(member).collect();
-        let snapshot = Snapshot { index: 0, term: 0, members, state: Vec::new() };
-        let recovered =
-            RecoveredState { snapshot: Some(Arc::new(snapshot)), ..RecoveredState::default() };
-        let mut harness =
-            LeaderHarness { node: Consensus::new(1, recovered, 7, 10_000), now_ms: 10_000 };
+        let node = Consensus::new(1, recovered_voter(), 7, 10_000);
+        let mut harness = LeaderHarness { node, now_ms: 10_000 };
         while harness.node.role() != Role::Leader {
             harness.tick(&[3]);
             assert!(harness.now_ms < 20_000, "member 1 was not elected");
--- a/crates/consensus/tests/replacement/cluster.rs
+++ b/crates/consensus/tests/replacement/cluster.rs
@@ -1,6 +1,7 @@
 //! Members of a log in simulated time: a frame takes 1 ms, and a sync takes 5 ms.
 
 use crate::disk::{apply_write, change_number, decode, encode};
+pub use crate::fixture::member;
 use postbarrow_consensus::*;
 use postbarrow_constants::consensus::{
     DISCOVERY_MS, ELECTION_MIN_MS, LEADERSHIP_TRANSFER_MS, TICK_MS,
@@ -52,10 +53,6 @@
     partitioned: BTreeSet<MemberId>,
 }
 
-pub fn member(id: MemberId) -> Member {
-    Member { id, address: format!("10.0.0.{id}:1").parse().unwrap() }
-}
-
 impl Cluster {
     /// Starts voters 1 to `voters` under a steady load, and returns them with committed changes and
     /// a snapshot each.
--- a/crates/consensus/tests/replacement/main.rs
+++ b/crates/consensus/tests/replacement/main.rs
@@ -3,6 +3,8 @@
 
 mod cluster;
 mod disk;
+#[path = "../fixture/mod.rs"]
+mod fixture;
 mod observation;
 mod planned;
 mod unplanned;
--- a/crates/consensus/tests/votes.rs
+++ b/crates/consensus/tests/votes.rs
@@ -1,23 +1,14 @@
 //! Votes: when a voter grants or refuses one, and when it withholds its vote because of a leader.
 
+mod fixture;
+
+use fixture::{member, recovered_voter};
 use postbarrow_consensus::*;
 use postbarrow_constants::consensus::{ELECTION_MIN_MS, LEADER_LEASE_MS};
-use std::sync::Arc;
-
-fn member(id: u64) -> Member {
-    Member { id, address: format!("10.0.0.{id}:1").parse().unwrap() }
-}
 
 fn voter(now_ms: u64, hard_state: HardState) -> Consensus {
-    let members = (1..=3).map(member).collect();
-    let snapshot = Snapshot { index: 0, term: 0, members, state: Vec::new() };
-    let recovered = RecoveredState {
-        term: hard_state.term,
-        voted_for: hard_state.voted_for,
-        snapshot: Some(Arc::new(snapshot)),
-        entries: Vec::new(),
-    };
-    Consensus::new(1, recovered, 7, now_ms)
+    let HardState { term, voted_for } = hard_state;
+    Consensus::new(1, RecoveredState { term, voted_for, ..recovered_voter() }, 7, now_ms)
 }
 
 fn receive(node: &mut Consensus, now_ms: u64, from: u64, message: Message) -> Vec<Effect> {
@@ -221,11 +212,7 @@
     let mut before = voter(START_MS, HardState::default());
     let earlier =
         probe_round(&before.handle(START_MS, Input::Tick)).expect("the voter probes at once");
-    let members = (1..=3).map(member).collect();
-    let snapshot = Snapshot { index: 0, term: 0, members, state: Vec::new() };
-    let recovered =
-        RecoveredState { snapshot: Some(Arc::new(snapshot)), ..RecoveredState::default() };
-    let mut node = Consensus::new(1, recovered, 8, START_MS + 1);
+    let mut node = Consensus::new(1, recovered_voter(), 8, START_MS + 1);
     let round =
         probe_round(&node.handle(START_MS + 1, Input::Tick)).expect("the voter probes again");
     let not_leading_report =
