--- a/programs/data-plane/src/tests/named_targets.rs
+++ b/programs/data-plane/src/tests/named_targets.rs
@@ -100,6 +100,13 @@
     rig.raw(format!("GET /look/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: {request}\r\n\r\n").as_bytes())
 }
 
+/// Asserts that a one-time request that may have run at the first target was not retried.
+pub fn assert_not_retried(reply: &str, one: &ScriptedTarget, other: &ScriptedTarget) {
+    assert!(reply.starts_with("HTTP/1.1 502") && reply.ends_with("sent"), "{reply}");
+    let runs = (one.runs(), other.runs());
+    assert_eq!(runs, (1, 0), "a request that may have run must not be retried");
+}
+
 #[test]
 fn each_request_names_its_target_and_the_connection_is_reused() {
     let script = vec![Script::Reply(response("a", "", "1")), Script::Reply(response("b", "", "2"))];
@@ -150,12 +157,7 @@
         let complete = Script::Reply(response("p", "", "done"));
         let (one, other, rig) = two_targets(vec![Script::Raw(truncated)], vec![complete]);
         let reply = rig.post("Request-Id: p\r\n", "x");
-        assert!(reply.starts_with("HTTP/1.1 502") && reply.ends_with("sent"), "{reply}");
-        assert_eq!(
-            (one.runs(), other.runs()),
-            (1, 0),
-            "a request that may have run must not be retried"
-        );
+        assert_not_retried(&reply, &one, &other);
         assert!(
             rig.settlements().is_empty(),
             "the ticket is local to this incarnation and not in the log"
--- a/programs/data-plane/src/tests/unresponsive_named_targets.rs
+++ b/programs/data-plane/src/tests/unresponsive_named_targets.rs
@@ -1,7 +1,7 @@
 //! Missing responses, resets and late responses, in a dialect in which each request names its
 //! target.
 
-use super::named_targets::{RequestIdDialect, get, response, two_targets};
+use super::named_targets::{RequestIdDialect, assert_not_retried, get, response, two_targets};
 use super::rig::*;
 use crate::TargetIdentification;
 use crate::target_connection::{
@@ -32,12 +32,7 @@
     let script = vec![unresponsive, Script::Reply(response("q", "", "own"))];
     let (one, other, rig) = two_targets(script, vec![Script::Raw(Vec::new())]);
     let reply = rig.post(SHORT_WAIT_HEADERS, "x");
-    assert!(reply.starts_with("HTTP/1.1 502") && reply.ends_with("sent"), "{reply}");
-    assert_eq!(
-        (one.runs(), other.runs()),
-        (1, 0),
-        "a request that may have run must not be retried"
-    );
+    assert_not_retried(&reply, &one, &other);
     let reply = get(&rig, "q");
     assert!(
         reply.ends_with("\r\n\r\nown"),
@@ -78,12 +73,7 @@
         let working = || vec![Script::Reply(complete.clone())];
         let (one, other, rig) = two_targets(vec![Script::Reset(truncated.clone())], working());
         let reply = rig.post("Request-Id: p\r\n", "x");
-        assert!(reply.starts_with("HTTP/1.1 502") && reply.ends_with("sent"), "{reply}");
-        assert_eq!(
-            (one.runs(), other.runs()),
-            (1, 0),
-            "a request that may have run must not be retried"
-        );
+        assert_not_retried(&reply, &one, &other);
         let (one, other, rig) = two_targets(vec![Script::Reset(truncated)], working());
         assert!(get(&rig, "p").ends_with("\r\n\r\ndone"));
         assert_eq!((one.runs(), other.runs()), (1, 1));
