Order a lock's release after its owner's starts, and drop changes of departed clients

A process handed a call to the controller without a look at its client, so all calls that it had not read when it was suspended were executed when it continued. And nothing could tell such a release from a later one: an owner that starts its lock again gets the same fencing token, by the protocol.

Change: - A request that changes the state is handed over only while its client is present, in one place for both programs (downstream/controller_request.rs): locks, numbers, keys, plans, tickets. Settlements, which record what has happened, are always sent. - The leader counts the starts of each grant (controller/grant_versions.rs). A release after a single start is executed at once. After several, or under a new leader, the leader returns the grant's version; the process looks whether the caller still waits and repeats the release with the version; any start in between changes it. So the time between the look and the commit is closed, too, also for a release that is sent again to a new leader. Nothing new is stored; the messages have one more call and response.

--- a/crates/controller-client/src/refusal.rs
+++ b/crates/controller-client/src/refusal.rs
@@ -28,6 +28,7 @@
             matches!(outcome, Outcome::Conflict { .. } | Outcome::NoKey)
         }
         Call::Free { .. }
+        | Call::FreeConfirmed { .. }
         | Call::ReadLock { .. }
         | Call::ReadNumber { .. }
         | Call::ReadKey { .. }
--- a/crates/controller/src/call_check.rs
+++ b/crates/controller/src/call_check.rs
@@ -13,7 +13,8 @@
     let (name, holder) = match call {
         Call::Lock { name, holder, .. }
         | Call::Renew { name, holder, .. }
-        | Call::Free { name, holder, .. } => (name, Some(holder)),
+        | Call::Free { name, holder, .. }
+        | Call::FreeConfirmed { name, holder, .. } => (name, Some(holder)),
         Call::ReadLock { name }
         | Call::Next { name, .. }
         | Call::ReadNumber { name }
--- a/crates/controller/src/call_decision.rs
+++ b/crates/controller/src/call_decision.rs
@@ -48,12 +48,14 @@
             }
             _ => (Outcome::NotOwner, Vec::new()),
         },
-        Call::Free { name, holder, fence } => match state.locks.get(name) {
-            Some(lock) if lock.holder == *holder && lock.fence == *fence => {
-                (Outcome::Freed, vec![Record::LockFreed { name: name.clone() }])
+        Call::Free { name, holder, fence } | Call::FreeConfirmed { name, holder, fence, .. } => {
+            match state.locks.get(name) {
+                Some(lock) if lock.holder == *holder && lock.fence == *fence => {
+                    (Outcome::Freed, vec![Record::LockFreed { name: name.clone() }])
+                }
+                _ => (Outcome::NotOwner, Vec::new()),
             }
-            _ => (Outcome::NotOwner, Vec::new()),
-        },
+        }
         Call::Next { name, by } => {
             let current = state.numbers.get(name).copied().unwrap_or(0);
             match current.checked_add(*by) {
--- a/crates/controller/src/control_node/calls.rs
+++ b/crates/controller/src/control_node/calls.rs
@@ -28,26 +28,33 @@
     }
 
     fn on_write(&mut self, now_ms: u64, origin: Origin, id: Option<Name>, call: Call) {
-        let Some(state) = self.proposed_state() else { return };
+        let Some(leader) = &mut self.leader else { return };
+        let Some(state) = leader.writer.proposed_state() else { return };
         if let Some(known) = id.as_ref().and_then(|id| state.stored_outcomes.get(id)) {
             let outcome = known.as_ref().clone();
+            leader.grants.on_outcome(state, &call, &outcome);
             return self.reply_when_committed(now_ms, origin, Response::Outcome(outcome));
         }
+        if let Some(version) = leader.grants.required_confirmation(state, &call) {
+            return self.respond(origin, Response::ConfirmClient { version });
+        }
         let is_full = state.stored_outcomes.len() >= STORED_OUTCOMES_MAX
             || state.history.len() >= HISTORY_EVENTS;
         let (outcome, mut records) = decide_call(state, &call);
-        if let (Outcome::Locked { ttl_ms, .. }, Call::Lock { name, .. } | Call::Renew { name, .. }) =
-            (&outcome, &call)
-            && let Some(leader) = &mut self.leader
+        if let (
+            Outcome::Locked { ttl_ms, .. },
+            Call::Lock { name, .. } | Call::Renew { name, .. },
+        ) = (&outcome, &call)
         {
             leader.locks.extend(name, now_ms + ttl_ms);
         }
+        if is_full && !records.is_empty() {
+            return self.shed(now_ms, origin);
+        }
+        leader.grants.on_outcome(state, &call, &outcome);
         if records.is_empty() {
             return self.reply_when_committed(now_ms, origin, Response::Outcome(outcome));
         }
-        if is_full {
-            return self.shed(now_ms, origin);
-        }
         if let Some(id) = id {
             records.push(Record::Repeat { id, outcome: outcome.clone() });
         }
--- a/crates/controller/src/control_node/lock_expiry.rs
+++ b/crates/controller/src/control_node/lock_expiry.rs
@@ -18,6 +18,7 @@
             return;
         }
         let expired = leader.locks.take_expired(now_ms);
+        expired.iter().for_each(|name| leader.grants.remove(name));
         let is_locked =
             |name: &Name| self.proposed_state().is_some_and(|state| state.locks.contains_key(name));
         let freed: Vec<Record> =
--- a/crates/controller/src/control_node/requests.rs
+++ b/crates/controller/src/control_node/requests.rs
@@ -4,7 +4,6 @@
 use crate::ControlNode;
 use crate::origin::Origin;
 use postbarrow_messages::{Request, Response};
-use postbarrow_state::Call;
 
 impl ControlNode {
     /// Serves, redirects or queues a request. Without the leader lease, nothing is answered from
@@ -75,13 +74,7 @@
         | Request::Members
         | Request::Status
         | Request::RequestSamples => true,
-        Request::Call { call, .. } => matches!(
-            call,
-            Call::ReadLock { .. }
-                | Call::ReadNumber { .. }
-                | Call::ReadKey { .. }
-                | Call::Watch { .. }
-        ),
+        Request::Call { call, .. } => call.is_read(),
         Request::Ticket(_) | Request::Settle { .. } | Request::Submit(_) => false,
     }
 }
--- a/crates/controller/src/leader_state.rs
+++ b/crates/controller/src/leader_state.rs
@@ -21,6 +21,7 @@
 pub(crate) use request_samples::RequestSamples;
 pub(crate) use retention::Retention;
 
+use crate::GrantVersions;
 use crate::endpoint_list::EndpointListPoller;
 use postbarrow_state::State;
 
@@ -33,6 +34,7 @@
     pub samples: RequestSamples,
     pub endpoint_list: EndpointListPoller,
     pub locks: LockDeadlines,
+    pub grants: GrantVersions,
     pub retention: Retention,
     pub watches: PendingWatches,
     pub shedding: SheddingCounts,
@@ -59,6 +61,7 @@
             samples: RequestSamples::default(),
             endpoint_list: EndpointListPoller::new(now_ms, list_gap_ms),
             locks: LockDeadlines::default(),
+            grants: GrantVersions::new(term),
             retention: Retention::new(now_ms),
             watches: PendingWatches::default(),
             shedding: SheddingCounts::default(),
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -20,6 +20,7 @@
 //! | expiry of data nodes | `control_node/node_expiry.rs` |
 //! | expiry of locks | `control_node/lock_expiry.rs` |
 //! | validation and outcomes of calls | `call_check.rs`, `call_decision.rs` |
+//! | order of a lock's release and its owner's starts | `grant_versions.rs` |
 //! | the endpoint list | `endpoint_list/` |
 //! | removal of old records | `control_node/retention.rs` |
 //! | state that only the leader has | `leader_state.rs`, one file per part in `leader_state/` |
@@ -38,6 +39,7 @@
 mod effect;
 mod endpoint_list;
 mod error;
+mod grant_versions;
 mod input;
 mod leader_contact;
 mod leader_settings;
@@ -55,6 +57,7 @@
 pub use control_node::ControlNode;
 pub use effect::Effect;
 pub use endpoint_list::{ListPage, read_page};
+pub use grant_versions::GrantVersions;
 pub use input::{Fetched, Input, PageResult};
 pub use leader_contact::Contact;
 pub use snapshot::PendingSnapshot;
--- a/crates/messages/src/request.rs
+++ b/crates/messages/src/request.rs
@@ -1,6 +1,8 @@
 //! Requests to the controller, and the responses to them.
 
-use postbarrow_state::{Call, Name, Outcome, Record, Sample, Settlement, StoredResponse, Ticket};
+use postbarrow_state::{
+    Call, GrantVersion, Name, Outcome, Record, Sample, Settlement, StoredResponse, Ticket,
+};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -41,6 +43,39 @@
     RequestSamples,
 }
 
+impl Request {
+    /// Returns whether the request changes the state on behalf of a client, and so must not be sent
+    /// once the client has departed. A settlement records what has already happened.
+    pub fn is_change_by_client(&self) -> bool {
+        match self {
+            Request::Ticket(_) | Request::Submit(_) => true,
+            Request::Call { call, .. } => !call.is_read(),
+            Request::Settle { .. }
+            | Request::Show
+            | Request::Targets
+            | Request::Members
+            | Request::Status
+            | Request::RequestSamples => false,
+        }
+    }
+
+    /// Returns whether the request releases a lock and names no version of its grant.
+    pub fn is_release(&self) -> bool {
+        matches!(self, Request::Call { call: Call::Free { .. }, .. })
+    }
+
+    /// Returns this release of a lock with the version that the lock's grant must have. A request
+    /// that is no release is returned as it is.
+    pub fn confirmed(&self, version: GrantVersion) -> Request {
+        let Request::Call { id, call: Call::Free { name, holder, fence } } = self else {
+            return self.clone();
+        };
+        let (name, holder, fence) = (name.clone(), holder.clone(), *fence);
+        let call = Call::FreeConfirmed { name, holder, fence, version };
+        Request::Call { id: id.clone(), call }
+    }
+}
+
 /// A submitted plan that was parsed and validated completely.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Submission {
@@ -83,6 +118,13 @@
     Settled,
     /// The outcome of a call.
     Outcome(Outcome),
+    /// The lock's owner may have started it again after it sent this release, which had no effect.
+    /// If the client still waits for the outcome, the release may be sent again as
+    /// `Call::FreeConfirmed`.
+    ConfirmClient {
+        /// Version of the lock's grant.
+        version: GrantVersion,
+    },
     /// The request is not valid. Contains the reason.
     Refused(String),
     /// The state has no space for the request, and nothing ran under its key.
--- a/crates/messages/tests/golden_bytes.rs
+++ b/crates/messages/tests/golden_bytes.rs
@@ -17,7 +17,7 @@
 use golden::{Case, assert_covers, case_of, check, variants};
 use postbarrow_membership::UpdateEntry;
 use postbarrow_messages::*;
-use postbarrow_state::Name;
+use postbarrow_state::{GrantVersion, Name};
 use serde_bytes::ByteBuf;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -88,6 +88,7 @@
         ("Known", Response::Known(Box::new(state_values::settled_ticket()))),
         ("OtherDigest", Response::OtherDigest),
         ("Settled", Response::Settled),
+        ("ConfirmClient", Response::ConfirmClient { version: GrantVersion { term: 5, starts: 2 } }),
         ("Refused", Response::Refused("no such name".into())),
         ("Full", Response::Full),
         ("Plan", Response::Plan { version: name("v2"), offset: 12, text: b"{}\n".to_vec() }),
--- a/crates/simulation/src/search/forwarded/log.rs
+++ b/crates/simulation/src/search/forwarded/log.rs
@@ -7,7 +7,7 @@
 //! check is omitted: a partitioned node answers from its own state, so that the search covers more
 //! behaviour than the real nodes have.
 
-use postbarrow_controller::decide_call;
+use postbarrow_controller::{GrantVersions, decide_call};
 use postbarrow_messages::Response;
 use postbarrow_state::{Call, Name, Outcome, Record, State};
 use postbarrow_transactions::Image;
@@ -45,6 +45,8 @@
     pub is_leading: bool,
     /// The replies that wait for a commit, each with the length of the log that must be committed.
     pub pending_replies: Vec<(usize, Origin, Response)>,
+    /// The versions of the locks' grants in the node's term as leader.
+    pub grants: GrantVersions,
 }
 
 /// The write of a forwarded call, and whether the log can take it.
@@ -57,6 +59,8 @@
     pub call: &'a Call,
     /// Whether the log has no space.
     pub log_full: bool,
+    /// Whether a release is executed without regard to the version of the lock's grant.
+    pub ignores_grant_versions: bool,
 }
 
 /// Returns the state after these entries.
@@ -73,15 +77,22 @@
     pub fn accept_write(&mut self, origin: Origin, write: Write<'_>) -> Vec<Reply> {
         let state = state_of(&self.log);
         if let Some(known) = write.id.as_ref().and_then(|id| state.stored_outcomes.get(id)) {
+            self.grants.on_outcome(&state, write.call, known);
             return self.reply(origin, Response::Outcome(known.as_ref().clone()));
         }
+        if let Some(version) = self.grants.required_confirmation(&state, write.call)
+            && !write.ignores_grant_versions
+        {
+            return vec![(origin, Response::ConfirmClient { version })];
+        }
         let (outcome, mut records) = decide_call(&state, write.call);
+        if write.log_full && !records.is_empty() {
+            return self.reply(origin, Response::Full);
+        }
+        self.grants.on_outcome(&state, write.call, &outcome);
         if records.is_empty() {
             return self.reply(origin, Response::Outcome(outcome));
         }
-        if write.log_full {
-            return self.reply(origin, Response::Full);
-        }
         if let Some(id) = write.id {
             records.push(Record::Repeat { id, outcome: outcome.clone() });
         }
--- a/crates/simulation/src/search/forwarded/state.rs
+++ b/crates/simulation/src/search/forwarded/state.rs
@@ -1,6 +1,7 @@
 //! The state of the model of forwarded calls: the members, their clients, the calls and the frames
 //! in flight.
 
+use crate::search::forwarded::departure::Departure;
 use crate::search::forwarded::log::{Entry, Member, Origin, Reply, state_of};
 use postbarrow_controller_client::ControllerClient;
 use postbarrow_messages::{Request, Response};
@@ -56,6 +57,8 @@
     pub(in crate::search) remaining_losses: u8,
     /// Number of retry intervals that may still pass.
     pub(in crate::search) remaining_ticks: u8,
+    /// The departing caller and its release.
+    pub(in crate::search) departure: Departure,
     /// The printed form of everything that decides later events.
     pub(in crate::search) printed_form: String,
 }
@@ -105,6 +108,7 @@
             self.remaining_ticks,
             self.now_ms,
             self.incarnations,
+            &self.departure,
         );
         self.printed_form = format!("{shared:?} {remaining:?}");
         self.in_flight = printed_frames.into_iter().map(|(_, frame)| frame).collect();
--- a/crates/simulation/src/search/mod.rs
+++ b/crates/simulation/src/search/mod.rs
@@ -4,7 +4,9 @@
 mod forwarded;
 mod request;
 
-pub use forwarded::{ForwardedAction, ForwardedCall, ForwardedCalls, ForwardedState, NUMBER};
+pub use forwarded::{
+    DepartingCaller, ForwardedAction, ForwardedCall, ForwardedCalls, ForwardedState, NUMBER,
+};
 pub use request::{Faults, Kind, RequestAction, RequestState, Requests};
 
 use std::collections::HashSet;
--- a/crates/simulation/tests/forwarded.rs
+++ b/crates/simulation/tests/forwarded.rs
@@ -1,7 +1,9 @@
 //! Exhaustive searches over every order of events of calls that are forwarded to the controller;
 //! see docs/notes/search.md.
 
-use postbarrow_simulation::search::{Bounds, ForwardedCall, ForwardedCalls, NUMBER, search};
+use postbarrow_simulation::search::{
+    Bounds, DepartingCaller, ForwardedCall, ForwardedCalls, NUMBER, search,
+};
 use postbarrow_state::{Call, Key, Name, Record};
 
 const BOUNDS: Bounds = Bounds { depth: 60, states: 600_000 };
@@ -161,3 +163,41 @@
     println!("{}: {:?}", found.violation, found.path);
     assert!(found.violation.0.contains("took effect several times"), "{}", found.violation);
 }
+
+/// Returns the model of a lock's owner that departs during the release at the first member, and
+/// starts the lock again through the second one.
+fn release_and_later_start() -> ForwardedCalls {
+    let release = Call::Free { name: "lock".into(), holder: "one".into(), fence: 1 };
+    ForwardedCalls {
+        initial_records: vec![locked("one", 1)],
+        departing_caller: Some(DepartingCaller { release: 0, start: 1 }),
+        frame_losses: 0,
+        ..with_faults(vec![
+            forwarded_call(0, None, release),
+            forwarded_call(1, Some("start-2"), lock("one")),
+        ])
+    }
+}
+
+/// Guards against two owners of one lock: a release that a suspended process or leader executes
+/// late, or that is sent again to a new leader, ends a hold that its caller got again meanwhile.
+#[test]
+fn a_late_release_does_not_end_the_hold_of_a_later_start() {
+    assert_no_violation(
+        "a late release, one leader",
+        &ForwardedCalls { allows_election: false, ..release_and_later_start() },
+    );
+    assert_no_violation(
+        "a late release, two leaders",
+        &ForwardedCalls { retry_ticks: 1, ..release_and_later_start() },
+    );
+}
+
+#[test]
+fn without_grant_versions_a_late_release_would_end_the_hold_of_a_later_start() {
+    let model = ForwardedCalls { ignores_grant_versions: true, ..release_and_later_start() };
+    let found =
+        search(&model, BOUNDS).expect_err("the search finds the violation within its bounds");
+    println!("{}: {:?}", found.violation, found.path);
+    assert!(found.violation.0.contains("late release"), "{}", found.violation);
+}
--- a/crates/state/src/call.rs
+++ b/crates/state/src/call.rs
@@ -27,7 +27,8 @@
         /// to live that is recorded for it.
         ttl_ms: Option<u64>,
     },
-    /// Releases a lock.
+    /// Releases a lock. The controller doesn't execute it if the owner may have started the lock
+    /// again after it sent this call, but asks for `FreeConfirmed`.
     Free {
         /// Name of the lock.
         name: Name,
@@ -36,6 +37,19 @@
         /// Fencing token of the lock's grant.
         fence: u64,
     },
+    /// Releases a lock unless its grant has changed since this version. The sender learned the
+    /// version from the controller, and saw after that that the calling application still waits for
+    /// the outcome of its `Free`.
+    FreeConfirmed {
+        /// Name of the lock.
+        name: Name,
+        /// Token of the calling application.
+        holder: Name,
+        /// Fencing token of the lock's grant.
+        fence: u64,
+        /// Version that the grant must have.
+        version: GrantVersion,
+    },
     /// Reads whether a lock has an owner.
     ReadLock {
         /// Name of the lock.
@@ -85,6 +99,29 @@
     },
 }
 
+impl Call {
+    /// Returns whether the call only reads.
+    pub fn is_read(&self) -> bool {
+        matches!(
+            self,
+            Call::ReadLock { .. }
+                | Call::ReadNumber { .. }
+                | Call::ReadKey { .. }
+                | Call::Watch { .. }
+        )
+    }
+}
+
+/// The version of a lock's grant within a leader's term. It changes each time that the owner gets
+/// the lock by a start, also if the owner holds it already and gets the same fencing token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantVersion {
+    /// Raft term of the leader that counts the starts.
+    pub term: u64,
+    /// Number of starts that this leader counted; 0 for a grant of an earlier leader.
+    pub starts: u64,
+}
+
 /// The outcome of a call.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Outcome {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -31,7 +31,7 @@
 mod ticket;
 
 pub use accepted_plans::{AcceptedPlan, RefusedPlan};
-pub use call::{Call, Outcome};
+pub use call::{Call, GrantVersion, Outcome};
 pub use coordination::{Change, Event, Events, Key, Lock, ResourceKind};
 pub use node::Node;
 pub use plan::{ClientLimits, PlanHead, Route, RouteKind, Service, WeightedService};
--- a/programs/control-plane/src/client_listener/tests.rs
+++ b/programs/control-plane/src/client_listener/tests.rs
@@ -5,8 +5,11 @@
 use crate::command::Command;
 use crate::operator_handler::OperatorHandler;
 use postbarrow_messages::{Request, Response};
+use postbarrow_node::TargetResponse;
+use postbarrow_state::Call;
 use std::io::{Read, Write};
 use std::net::Shutdown;
+use std::sync::Mutex;
 use std::sync::atomic::Ordering::SeqCst;
 use std::sync::mpsc::{Receiver, channel};
 
@@ -21,14 +24,38 @@
 }
 
 fn start_listener() -> Fixture {
+    start_listener_with(Arc::new(OperatorHandler))
+}
+
+fn start_listener_with(handler: Arc<dyn ClientHandler>) -> Fixture {
     let (sender, commands) = channel();
     let request_sender = RequestSender::new(sender);
     let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-    let address =
-        listen_for_clients(any_port, request_sender.clone(), Arc::new(OperatorHandler)).unwrap();
+    let address = listen_for_clients(any_port, request_sender.clone(), handler).unwrap();
     Fixture { address, request_sender, commands }
 }
 
+/// Sends a change to the controller for each request, once the test lets it: the process is
+/// suspended after it has read the request.
+struct SuspendedHandler {
+    may_continue: Mutex<Receiver<()>>,
+}
+
+impl ClientHandler for SuspendedHandler {
+    fn answer(&self, request: &ClientRequest<'_>) -> TargetResponse {
+        self.may_continue.lock().unwrap().recv().unwrap();
+        let call = Call::Next { name: "n".into(), by: 1 };
+        let change = Request::Call { id: None, call };
+        let response = request.request_sender.send(change, 60_000, request.client);
+        assert_eq!(response, Response::Unavailable);
+        self.reject(503, "")
+    }
+
+    fn reject(&self, status: u16, _: &str) -> TargetResponse {
+        TargetResponse { status, headers: Vec::new(), body: Vec::new() }
+    }
+}
+
 impl Fixture {
     fn send(&self, bytes: &str) -> TcpStream {
         let mut stream = TcpStream::connect(self.address).unwrap();
@@ -95,6 +122,22 @@
     fixture.assert_no_pending_requests();
 }
 
+/// Guards against a suspended process that executes the calls of departed clients at its waking.
+#[test]
+fn a_change_is_not_enqueued_if_its_client_departs_before() {
+    let (waker, may_continue) = channel();
+    let fixture =
+        start_listener_with(Arc::new(SuspendedHandler { may_continue: Mutex::new(may_continue) }));
+    let stream = fixture.send("POST /change HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+    while fixture.request_sender.pending_requests().load(SeqCst) == 0 {
+        thread::sleep(Duration::from_millis(1));
+    }
+    drop(stream);
+    waker.send(()).unwrap();
+    fixture.assert_no_pending_requests();
+    assert!(fixture.commands.try_recv().is_err(), "the change was queued");
+}
+
 #[test]
 fn a_plan_is_not_submitted_if_its_operator_departs_during_the_rehearsal() {
     for query in ["", "?dry-run", "?most-lost=0"] {
--- a/programs/control-plane/src/operator_handler.rs
+++ b/programs/control-plane/src/operator_handler.rs
@@ -67,8 +67,7 @@
     }
 }
 
-/// Rehearses the plan on recent requests and submits it, unless the operator has departed
-/// meanwhile.
+/// Rehearses the plan on recent requests and submits it.
 fn submit(request: &ClientRequest<'_>, send: SendRequest<'_>) -> TargetResponse {
     let plan = match Plan::read(request.body) {
         Ok(plan) => plan,
@@ -89,9 +88,6 @@
     if !exceeded.is_empty() {
         return json(422, &ExceededBody { error: exceeded.join("; "), traffic });
     }
-    if request.client.has_departed() {
-        return to_http(Response::Unavailable);
-    }
     let is_set = |name: &str| request.query(name).is_some_and(|value| matches!(value, "" | "true"));
     let submission = Submission {
         version: plan.version.as_str().into(),
--- a/programs/control-plane/src/request_sender.rs
+++ b/programs/control-plane/src/request_sender.rs
@@ -2,13 +2,13 @@
 //! process.
 
 use crate::command::Command;
-use postbarrow_constants::coordination::CONTROLLER_RESPONSE_SLACK_MS;
-use postbarrow_downstream::client_watch::{ClientWatch, ReceiveError};
+use postbarrow_downstream::client_watch::ClientWatch;
+use postbarrow_downstream::controller_request::{ControlLoopQueue, send_for_client};
 use postbarrow_messages::{Request, Response};
-use postbarrow_transport::{RequestKeys, clock_ms, random};
+use postbarrow_transport::{RequestKeys, random};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
-use std::sync::mpsc::{Sender, sync_channel};
+use std::sync::mpsc::{Sender, SyncSender};
 
 /// Sends requests to the controller on behalf of clients. Clones share the count of pending
 /// requests, the request keys and the stop flag.
@@ -35,25 +35,10 @@
         RequestSender { commands, keys, pending: Arc::default(), is_stopping: Arc::default() }
     }
 
-    /// Sends a request to the controller and returns its response. Returns `Unavailable` if the
-    /// request was not sent to any process that could execute it, and `TimedOut` after `wait_ms`
-    /// milliseconds if a process may have executed it. If the client departs, the request is
-    /// withdrawn and `TimedOut` is returned: its outcome is unknown, and effects that it already
-    /// had are not undone.
+    /// Sends a request to the controller for a client and returns its response, as
+    /// [`send_for_client`] does.
     pub fn send(&self, request: Request, wait_ms: u64, client: &ClientWatch) -> Response {
-        let (reply, response) = sync_channel(1);
-        let key = self.keys.next();
-        if self.commands.send(Command::Request { key, request, wait_ms, reply }).is_err() {
-            return Response::Unavailable;
-        }
-        match client.receive(&response, clock_ms() + wait_ms + CONTROLLER_RESPONSE_SLACK_MS) {
-            Ok(response) => response,
-            Err(ReceiveError::ClientDeparted) => {
-                let _ = self.commands.send(Command::Withdraw { key });
-                Response::TimedOut
-            }
-            Err(ReceiveError::TimedOut | ReceiveError::Disconnected) => Response::TimedOut,
-        }
+        send_for_client(self, request, wait_ms, client)
     }
 
     pub(crate) fn start_request(&self) -> PendingRequest {
@@ -75,3 +60,23 @@
         self.is_stopping.load(SeqCst)
     }
 }
+
+impl ControlLoopQueue for RequestSender {
+    fn next_key(&self) -> u64 {
+        self.keys.next()
+    }
+
+    fn enqueue(
+        &self,
+        key: u64,
+        request: Request,
+        wait_ms: u64,
+        reply: SyncSender<Response>,
+    ) -> bool {
+        self.commands.send(Command::Request { key, request, wait_ms, reply }).is_ok()
+    }
+
+    fn withdraw(&self, key: u64) {
+        let _ = self.commands.send(Command::Withdraw { key });
+    }
+}
--- a/programs/data-plane/src/coordination.rs
+++ b/programs/data-plane/src/coordination.rs
@@ -1,7 +1,7 @@
 //! Coordination calls of applications on locks, numbers, keys and watches, forwarded to the
 //! controller.
 
-mod read_call;
+pub(crate) mod read_call;
 mod render;
 
 use crate::admission::Permit;
@@ -44,8 +44,7 @@
         return error(400, "the Idempotency-Key is too long");
     }
     let key = client_key.map_or_else(|| shared.keys.synthesize_key(), Name::from);
-    let is_read =
-        matches!(call, Call::ReadKey { .. } | Call::ReadLock { .. } | Call::ReadNumber { .. });
+    let is_read = call.is_read();
     let request = Request::Call { id: Some(repeat_id(&key, &call)), call };
     match shared.control_loop.request(request, CONTROLLER_REQUEST_MS, client) {
         Response::Outcome(outcome) => render_outcome(outcome),
--- a/programs/data-plane/src/shared/control_loop_handle.rs
+++ b/programs/data-plane/src/shared/control_loop_handle.rs
@@ -1,11 +1,11 @@
 //! Sends commands to the control loop, and through it requests to the controller.
 
 use crate::command::Command;
-use postbarrow_constants::coordination::CONTROLLER_RESPONSE_SLACK_MS;
-use postbarrow_downstream::client_watch::{ClientWatch, ReceiveError};
+use postbarrow_downstream::client_watch::ClientWatch;
+use postbarrow_downstream::controller_request::{ControlLoopQueue, send_for_client};
 use postbarrow_messages::{Request, Response};
-use postbarrow_transport::{RequestKeys, clock_ms, random};
-use std::sync::mpsc::{Sender, sync_channel};
+use postbarrow_transport::{RequestKeys, random};
+use std::sync::mpsc::{Sender, SyncSender};
 
 /// A handle that sends commands to the control loop.
 pub struct ControlLoopHandle {
@@ -19,26 +19,10 @@
         ControlLoopHandle { request_keys: RequestKeys::new(random()), commands }
     }
 
-    /// Sends a request to the controller and returns the response. While there is no response, the
-    /// request is resent for `wait_ms` milliseconds; `TimedOut` is returned
-    /// `CONTROLLER_RESPONSE_SLACK_MS` after that at the latest. If the client departs, the request
-    /// is no longer resent; it may already have been applied, so its outcome is unknown and
-    /// `TimedOut` is returned.
+    /// Sends a request to the controller for a client and returns its response, as
+    /// [`send_for_client`] does.
     pub fn request(&self, request: Request, wait_ms: u64, client: &ClientWatch) -> Response {
-        let (reply, response) = sync_channel(1);
-        let (key, wait_ms) = (self.request_keys.next(), wait_ms.max(1));
-        let command = Command::Request { key, request, wait_ms, reply: Some(reply) };
-        if self.commands.send(command).is_err() {
-            return Response::TimedOut;
-        }
-        match client.receive(&response, clock_ms() + wait_ms + CONTROLLER_RESPONSE_SLACK_MS) {
-            Ok(response) => response,
-            Err(ReceiveError::ClientDeparted) => {
-                self.send(Command::Withdraw { key });
-                Response::TimedOut
-            }
-            Err(ReceiveError::TimedOut | ReceiveError::Disconnected) => Response::TimedOut,
-        }
+        send_for_client(self, request, wait_ms, client)
     }
 
     /// Sends a request to the controller without waiting for the response. The request is resent
@@ -53,3 +37,24 @@
         let _ = self.commands.send(command);
     }
 }
+
+impl ControlLoopQueue for ControlLoopHandle {
+    fn next_key(&self) -> u64 {
+        self.request_keys.next()
+    }
+
+    fn enqueue(
+        &self,
+        key: u64,
+        request: Request,
+        wait_ms: u64,
+        reply: SyncSender<Response>,
+    ) -> bool {
+        let reply = Some(reply);
+        self.commands.send(Command::Request { key, request, wait_ms, reply }).is_ok()
+    }
+
+    fn withdraw(&self, key: u64) {
+        self.send(Command::Withdraw { key });
+    }
+}
--- a/programs/data-plane/src/tests/client_departure/one_time.rs
+++ b/programs/data-plane/src/tests/client_departure/one_time.rs
@@ -1,6 +1,18 @@
 //! Departures of clients during ticket requests, one-time requests and coordination calls.
 
 use super::*;
+use crate::coordination::read_call::read_call;
+use crate::coordination::serve;
+use postbarrow_downstream::client_watch::ClientWatch;
+use postbarrow_downstream::head::parse;
+use std::net::{TcpListener, TcpStream};
+
+fn connected_pair() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let near = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (far, _) = listener.accept().unwrap();
+    (near, far)
+}
 
 #[test]
 fn target_that_does_not_identify_itself_gets_no_request_of_a_departed_client() {
@@ -128,6 +140,33 @@
     assert_eq!((one.runs(), other.runs()), (1, 0));
 }
 
+/// Guards against a suspended node that forwards the calls of departed clients at its waking.
+#[test]
+fn coordination_change_of_a_departed_client_is_not_forwarded() {
+    let owner = r#"{"holder":"a","fence":1,"ttlMs":1000}"#;
+    let changes = [
+        ("POST", "locks/l", r#"{"holder":"a","ttlMs":1000}"#),
+        ("PUT", "locks/l", owner),
+        ("DELETE", "locks/l", r#"{"holder":"a","fence":1}"#),
+        ("POST", "numbers/n", "{}"),
+        ("PUT", "keys/k", r#"{"value":"v"}"#),
+        ("DELETE", "keys/k", "{}"),
+    ];
+    for (method, path, body) in changes {
+        let text = format!("{method} /coordination/{path} HTTP/1.1\r\nHost: h\r\n\r\n");
+        let (head, _) = parse(text.as_bytes()).unwrap().unwrap();
+        assert!(read_call(&head, body.as_bytes()).is_ok_and(|call| !call.is_read()), "{text}");
+        let rig = start_node(false, &[]);
+        let (near, client) = connected_pair();
+        drop(client);
+        serve(&rig.shared, &head, body.as_bytes(), &ClientWatch::new(&near));
+        rig.withdrawn();
+        let requested = rig.requested.lock().unwrap();
+        let is_forwarded = requested.iter().any(|request| matches!(request, Request::Call { .. }));
+        assert!(!is_forwarded, "{method} {path} was forwarded");
+    }
+}
+
 #[test]
 fn call_or_watch_of_a_departed_client_releases_its_permit_and_is_withdrawn() {
     let calls = ["POST /coordination/numbers/n", "GET /coordination/watch/numbers?after=3"];
