Simulate lock owners that depart during a release and return under their name

Callers of the simulated world never departed, and their calls reached a frozen data node at once. A call is now read when its node runs, so a frozen node reads it at its waking; four of ten releases are left by their caller, which starts the lock again under the same name. Half of the nodes notice the departure; the others stand for a caller that departs directly after the check. A release that the controller can't order is confirmed while its caller waits.

--- a/crates/simulation/src/client/calls.rs
+++ b/crates/simulation/src/client/calls.rs
@@ -1,7 +1,7 @@
 //! State and history of the callers: applications that use locks, numbers, keys and watches.
 
 use postbarrow_state::{Call, Name, Outcome};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// One completed call with its outcome; times are true times in microseconds.
 #[derive(Clone, Debug, PartialEq)]
@@ -18,6 +18,18 @@
     pub outcome: Outcome,
 }
 
+/// A call that a data node reads.
+pub struct CallArrival {
+    /// The index of the caller.
+    pub(crate) caller: usize,
+    /// The number of the call.
+    pub(crate) number: u64,
+    /// The call as it was sent.
+    pub(crate) call: Call,
+    /// Whether the node notices that the caller has departed.
+    pub(crate) is_departure_noticed: bool,
+}
+
 /// A call without an outcome so far.
 #[derive(Clone)]
 pub struct PendingCall {
@@ -44,6 +56,12 @@
     /// Number of times that the watch was refused because the events after its revision were no
     /// longer retained.
     pub too_old: u64,
+    /// The callers that departed during the release of their lock and start it again.
+    pub(crate) returning: BTreeSet<usize>,
+    /// Number of callers that departed during the release of their lock.
+    pub departures: u64,
+    /// Number of releases that were confirmed.
+    pub confirmations: u64,
     /// The pending call of each caller, by the caller's index.
     pub(crate) pending: BTreeMap<usize, PendingCall>,
     /// The lock that each caller holds, by the caller's index: its name, its fencing token and the
--- a/crates/simulation/src/event.rs
+++ b/crates/simulation/src/event.rs
@@ -1,5 +1,6 @@
 //! The events of a world, and the processes that handle them.
 
+use crate::client::calls::CallArrival;
 use crate::client::pinned::PinnedRequest;
 use crate::fault::Fault;
 use postbarrow_controller::PageResult;
@@ -53,6 +54,10 @@
     NextRequest,
     /// A caller sends its next call.
     NextCall { caller: usize },
+    /// A caller's call is read by the data node that it was sent to. A node that does not notice
+    /// that the caller has departed sends the call all the same: the caller departs directly after
+    /// the node's check.
+    CallArrives { call: CallArrival, data: usize, incarnation: u64 },
     /// The operators handle timeouts of their requests and may submit a plan.
     OperatorsTick,
     /// The pinned clients send their next request.
--- a/crates/simulation/src/scenario/mod.rs
+++ b/crates/simulation/src/scenario/mod.rs
@@ -60,6 +60,10 @@
     pub refusals: u64,
     /// Number of completed calls on locks, numbers, keys and watches.
     pub calls: usize,
+    /// Number of callers that departed during the release of their lock.
+    pub release_departures: u64,
+    /// Number of releases that the controller could not order, and that were confirmed.
+    pub confirmed_releases: u64,
     /// Number of events that the watch on keys received.
     pub events: usize,
     /// Number of attempts of lookups, and number of their runs at targets beyond one for each
@@ -208,6 +212,8 @@
     result.plans = world.operator.acknowledged;
     result.refusals = world.operator.refusals;
     result.calls = world.callers.completed.len();
+    result.release_departures = world.callers.departures;
+    result.confirmed_releases = world.callers.confirmations;
     result.events = world.callers.watched_revisions.len();
     result.extra_lookup_runs = (lookups, extra);
     result.max_departure_lag_ms = world.ledger.max_departure_lag_us / 1_000;
--- a/crates/simulation/src/world/calls.rs
+++ b/crates/simulation/src/world/calls.rs
@@ -1,6 +1,6 @@
 //! Calls of applications (callers): sending, retries and outcomes.
 
-use crate::client::calls::{CompletedCall, PendingCall};
+use crate::client::calls::{CallArrival, CompletedCall, PendingCall};
 use crate::event::Event;
 use crate::node::data::ResponseRecipient;
 use crate::world::World;
@@ -16,6 +16,13 @@
 /// Index of the caller that watches all keys.
 const WATCHER: usize = 3;
 
+/// Number of a thousand releases during which the caller departs, to start its lock again under the
+/// same name.
+const DEPARTURES_PER_MILLE: u64 = 400;
+
+/// Number of a thousand calls whose node notices that the caller has departed.
+const NOTICED_DEPARTURES_PER_MILLE: u64 = 500;
+
 /// Time after which a call without a response is sent again, in microseconds.
 const RESEND_AFTER_US: u64 = 4_000_000;
 
@@ -44,8 +51,14 @@
         };
         self.callers.number += 1;
         let number = self.callers.number;
+        let is_release = matches!(call, Call::Free { .. });
         let pending = PendingCall { number, start_us: self.now_us, call, node: 0, sent_us: 0 };
         self.send_call(caller, pending);
+        if is_release && self.random.chance(DEPARTURES_PER_MILLE) {
+            self.callers.pending.remove(&caller);
+            self.callers.returning.insert(caller);
+            self.callers.departures += 1;
+        }
     }
 
     /// Returns a random call; a caller with a lock renews or frees it.
@@ -58,6 +71,14 @@
             self.release_lock(caller);
             return Call::Free { name, holder, fence };
         }
+        let lock = Call::Lock {
+            name: Name::from("lock"),
+            holder: Name::from(format!("caller-{caller}")),
+            ttl_ms: LOCK_TTL_MS,
+        };
+        if self.callers.returning.remove(&caller) {
+            return lock;
+        }
         let name = Name::from(format!("n{}", self.random.below(2)));
         match self.random.below(6) {
             0 => Call::Next { name, by: 1 + self.random.below(3) },
@@ -70,10 +91,7 @@
                 };
                 Call::Put { name, value: vec![caller as u8], revision }
             }
-            _ => {
-                let holder = Name::from(format!("caller-{caller}"));
-                Call::Lock { name: Name::from("lock"), holder, ttl_ms: LOCK_TTL_MS }
-            }
+            _ => lock,
         }
     }
 
@@ -86,15 +104,55 @@
         }
         pending.node = running[self.random.below(running.len() as u64) as usize];
         pending.sent_us = self.now_us;
-        let (node, number, call) = (pending.node, pending.number, pending.call.clone());
+        let (node, incarnation) = (pending.node, self.data[pending.node].incarnation);
+        let call = CallArrival {
+            caller,
+            number: pending.number,
+            call: pending.call.clone(),
+            is_departure_noticed: self.random.chance(NOTICED_DEPARTURES_PER_MILLE),
+        };
         self.callers.pending.insert(caller, pending);
-        let id = Some(Name::from(format!("call-{number}")));
-        self.send_to_controller(
-            node,
-            Request::Call { id, call },
-            RESPONSE_WAIT_MS,
-            ResponseRecipient::Caller { caller, number },
-        );
+        self.schedule(0, Event::CallArrives { call, data: node, incarnation });
+    }
+
+    /// Forwards a call that a data node has read to the controller.
+    pub fn call_arrives(&mut self, call: CallArrival, node: usize, incarnation: u64) {
+        let CallArrival { caller, number, call, is_departure_noticed } = call;
+        let is_running = self.data[node].incarnation == incarnation;
+        if !is_running || (is_departure_noticed && !self.is_waiting(caller, number, node)) {
+            return;
+        }
+        let request = Request::Call { id: Some(call_id(number)), call };
+        let recipient = ResponseRecipient::Caller { caller, number };
+        self.send_to_controller(node, request, RESPONSE_WAIT_MS, recipient);
+    }
+
+    /// Returns whether a caller waits at this data node for the outcome of its call.
+    fn is_waiting(&self, caller: usize, number: u64, node: usize) -> bool {
+        let pending = self.callers.pending.get(&caller);
+        pending.is_some_and(|pending| pending.number == number && pending.node == node)
+    }
+
+    /// Handles the controller's response to a call at the data node that forwarded it. A release
+    /// that must be confirmed is sent again if its caller still waits at this node.
+    pub fn node_receives_outcome(
+        &mut self,
+        node: usize,
+        caller: usize,
+        number: u64,
+        response: Response,
+    ) {
+        let Response::ConfirmClient { version } = response else {
+            return self.caller_receives(caller, number, response);
+        };
+        if !self.is_waiting(caller, number, node) {
+            return;
+        }
+        let Some(pending) = self.callers.pending.get(&caller) else { return };
+        let release = Request::Call { id: Some(call_id(number)), call: pending.call.clone() };
+        self.callers.confirmations += 1;
+        let recipient = ResponseRecipient::Caller { caller, number };
+        self.send_to_controller(node, release.confirmed(version), RESPONSE_WAIT_MS, recipient);
     }
 
     /// Handles the controller's response to pending call `number` of `caller`; the caller sends the
@@ -179,3 +237,8 @@
         }
     }
 }
+
+/// Returns the id of the call with this number, which it shares with its repeats.
+fn call_id(number: u64) -> Name {
+    Name::from(format!("call-{number}"))
+}
--- a/crates/simulation/src/world/data.rs
+++ b/crates/simulation/src/world/data.rs
@@ -95,7 +95,7 @@
                             );
                         }
                         ResponseRecipient::Caller { caller, number } => {
-                            self.caller_receives(caller, number, response)
+                            self.node_receives_outcome(at, caller, number, response)
                         }
                         ResponseRecipient::None => {}
                     }
--- a/crates/simulation/src/world/mod.rs
+++ b/crates/simulation/src/world/mod.rs
@@ -314,6 +314,9 @@
             }
             Event::NextRequest => self.send_next_request(),
             Event::NextCall { caller } => self.next_call(caller),
+            Event::CallArrives { call, data, incarnation } => {
+                self.call_arrives(call, data, incarnation)
+            }
             Event::OperatorsTick => self.operators_tick(),
             Event::SendPinned => self.send_pinned_request(),
             Event::PinnedArrives { key, requested_us, request, .. } => {
@@ -381,6 +384,7 @@
             Event::Arrive { data, .. }
             | Event::DepartureObserved { data, .. }
             | Event::Resume { data, .. }
+            | Event::CallArrives { data, .. }
             | Event::Send { data, .. }
             | Event::Probe { data, .. } => Some(ProcessId::Data(*data)),
             _ => None,
--- a/crates/simulation/tests/failures.rs
+++ b/crates/simulation/tests/failures.rs
@@ -35,6 +35,21 @@
     assert!(departed > 100, "only {departed} clients departed");
 }
 
+/// In each run callers depart during the release of their lock and start it again under the same
+/// name, while control and data nodes freeze. No lock has two owners (checked by `World`).
+#[test]
+fn departing_lock_owners_break_no_guarantee_amid_freezes() {
+    let (mut departures, mut confirmations) = (0, 0);
+    for seed in 1..=12 {
+        let scenario = Scenario::new(seed, &[Fault::FreezeControl, Fault::FreezeData], 8);
+        let result = run_checked("departing lock owners", &scenario);
+        departures += result.release_departures;
+        confirmations += result.confirmed_releases;
+    }
+    assert!(departures > 100, "only {departures} owners departed");
+    assert!(confirmations > 0, "no release was confirmed");
+}
+
 macro_rules! faults {
     ($($name:ident: $fault:expr,)*) => {
         $(#[test] fn $name() { run_fault($fault); })*
