--- a/crates/downstream/src/client_watch/tests.rs
+++ b/crates/downstream/src/client_watch/tests.rs
@@ -1,20 +1,14 @@
 //! Tests of `client_watch`.
 
 use super::*;
+use crate::test_sockets::connected_pair;
 use std::io::Write;
-use std::net::{Shutdown, TcpListener};
+use std::net::Shutdown;
 
 /// Timeout in milliseconds, far longer than any event in these tests takes; only a wait that hangs
 /// reaches it.
 const HANG_TIMEOUT_MS: u64 = 60_000;
 
-fn connected_pair() -> (TcpStream, TcpStream) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let near = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-    let (far, _) = listener.accept().unwrap();
-    (near, far)
-}
-
 fn reset_connection(stream: TcpStream) {
     socket2::SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO)).unwrap();
 }
--- a/crates/downstream/src/controller_request.rs
+++ b/crates/downstream/src/controller_request.rs
@@ -3,7 +3,7 @@
 //!
 //! A request that changes the state is queued only while its client is present. A process that
 //! was suspended reads calls whose clients have departed meanwhile; executing them would undo what
-//! a client has done since at another process.
+//! a client has done since through another process.
 
 use crate::client_watch::{ClientWatch, ReceiveError};
 use postbarrow_constants::coordination::CONTROLLER_RESPONSE_SLACK_MS;
--- a/crates/downstream/src/controller_request/tests.rs
+++ b/crates/downstream/src/controller_request/tests.rs
@@ -1,11 +1,12 @@
 //! Tests of `controller_request`: what is queued for a client that departs, with real sockets.
 
 use super::*;
+use crate::test_sockets::connected_pair;
 use postbarrow_messages::Submission;
 use postbarrow_state::{Call, GrantVersion, Name, Outcome, Settlement, Ticket};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 
 /// Time to wait for a response, far longer than any test takes.
 const WAIT_MS: u64 = 60_000;
@@ -36,13 +37,6 @@
     fn withdraw(&self, _: u64) {}
 }
 
-fn connected_pair() -> (TcpStream, TcpStream) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let near = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-    let (far, _) = listener.accept().unwrap();
-    (near, far)
-}
-
 fn call(call: Call) -> Request {
     Request::Call { id: Some("id".into()), call }
 }
--- a/crates/downstream/src/lib.rs
+++ b/crates/downstream/src/lib.rs
@@ -16,3 +16,5 @@
 pub mod memory_budget;
 pub mod reject;
 mod response;
+#[cfg(test)]
+mod test_sockets;
