--- a/crates/state/src/call.rs
+++ b/crates/state/src/call.rs
@@ -27,8 +27,8 @@
         /// to live that is recorded for it.
         ttl_ms: Option<u64>,
     },
-    /// Releases a lock. The controller doesn't execute it if the owner may have started the lock
-    /// again after it sent this call, but asks for `FreeConfirmed`.
+    /// Releases a lock. If the owner may have started the lock again after it sent this call, the
+    /// controller does not execute it and requires `FreeConfirmed`.
     Free {
         /// Name of the lock.
         name: Name,
