Keep a grant's version when another caller's release names its fencing token

Found on reading the change again: a release by a caller that does not own the lock, with the owner's token, dropped the count of the owner's starts, so that the version fell back to 0 and could recur after the next start. A late release that was confirmed with the earlier version would then have been executed. Only a release that took effect ends the count now.

--- a/crates/controller/src/grant_versions.rs
+++ b/crates/controller/src/grant_versions.rs
@@ -12,8 +12,7 @@
 use postbarrow_state::{Call, GrantVersion, Name, Outcome, State};
 use std::collections::BTreeMap;
 
-/// The number of starts by which an owner got its lock and a grant inherited from an earlier leader
-/// counts as.
+/// Number of starts that an inherited grant counts as, since the real number is unknown.
 const STARTS_OF_INHERITED_GRANT: u64 = 1;
 
 /// The starts that one leader counted for each lock.
@@ -63,11 +62,10 @@
             (Call::Lock { name, .. }, Outcome::Locked { fence, .. }) => {
                 self.on_start(state, name, *fence);
             }
-            (Call::Free { name, fence, .. } | Call::FreeConfirmed { name, fence, .. }, _)
-                if self.starts(name, *fence).is_some() =>
-            {
-                self.grants.remove(name);
-            }
+            (
+                Call::Free { name, fence, .. } | Call::FreeConfirmed { name, fence, .. },
+                Outcome::Freed,
+            ) if self.starts(name, *fence).is_some() => self.remove(name),
             _ => {}
         }
     }
--- a/crates/controller/tests/late_releases.rs
+++ b/crates/controller/tests/late_releases.rs
@@ -133,6 +133,21 @@
     assert!(caller.is_owned());
 }
 
+/// Guards against a version that recurs: a release by another caller must not reset the count, or a
+/// late release with an earlier version would match after the next start.
+#[test]
+fn a_release_by_another_caller_does_not_change_the_version() {
+    let mut caller = Caller::new(Harness::serving());
+    (0..2).for_each(|_| assert_eq!(caller.call(start("a")), locked(1)));
+    let version = caller.required_version(release(1));
+    let by_other = Call::Free { name: "l".into(), holder: "b".into(), fence: 1 };
+    assert_eq!(caller.call(by_other), Response::Outcome(Outcome::NotOwner));
+    assert_eq!(caller.required_version(release(1)), version);
+    assert_eq!(caller.call(start("a")), locked(1));
+    assert_ne!(caller.required_version(confirmed_release(1, version)), version);
+    assert!(caller.is_owned());
+}
+
 #[test]
 fn the_starts_of_an_expired_grant_do_not_count_for_the_next_one() {
     let mut caller = Caller::new(Harness::serving());
