--- a/crates/simulation/src/scenario/mod.rs
+++ b/crates/simulation/src/scenario/mod.rs
@@ -38,9 +38,9 @@
     pub lost_per_mille: u64,
     /// Additional delay of a frame between two zones, in microseconds.
     pub zone_us: u64,
-    /// Whether, until the faults are healed, a process freezes at some step of each release whose
-    /// caller departs.
-    pub freezes_during_releases: bool,
+    /// Whether callers depart during the release of their lock, and a process freezes at some step
+    /// of each such release until the faults are healed.
+    pub owners_depart: bool,
 }
 
 /// The result of a run.
@@ -112,7 +112,7 @@
             script: Vec::new(),
             lost_per_mille: 5,
             zone_us: 0,
-            freezes_during_releases: false,
+            owners_depart: false,
         }
     }
 
@@ -131,7 +131,7 @@
         world.network.zone_us = self.zone_us;
         world.run_until(START_US);
         let formed = world.has_full_service();
-        world.freezes_during_releases = self.freezes_during_releases;
+        world.owners_depart = self.owners_depart;
         self.inject_faults(&mut world);
         world.plans_paused = true;
         world.inject(Fault::Heal);
--- a/crates/simulation/src/world/calls.rs
+++ b/crates/simulation/src/world/calls.rs
@@ -32,7 +32,11 @@
 const NOTICED_DEPARTURES_PER_MILLE: u64 = 500;
 
 /// Time after which a call without a response is sent again, in microseconds.
-const RESEND_AFTER_US: u64 = 1_000_000;
+const RESEND_AFTER_US: u64 = 4_000_000;
+
+/// The same where owners of locks depart: shorter than a lock's time to live, so that a renewal sent
+/// to a frozen node does not lose the lock.
+const DEPARTING_RESEND_AFTER_US: u64 = 1_000_000;
 
 impl World {
     /// Sends the next call of a caller, or its pending call again if the node has ended or has not
@@ -41,7 +45,9 @@
         self.schedule(40_000, Event::NextCall { caller });
         if let Some(pending) = self.callers.pending.get(&caller).cloned() {
             let has_node_ended = self.data[pending.node].node.is_none();
-            if has_node_ended || self.now_us > pending.sent_us + RESEND_AFTER_US {
+            let resend_after_us =
+                if self.owners_depart { DEPARTING_RESEND_AFTER_US } else { RESEND_AFTER_US };
+            if has_node_ended || self.now_us > pending.sent_us + resend_after_us {
                 self.send_call(caller, pending);
             }
             return;
@@ -62,7 +68,7 @@
         let is_release = matches!(call, Call::Free { .. });
         let pending = PendingCall { number, start_us: self.now_us, call, node: 0, sent_us: 0 };
         self.send_call(caller, pending);
-        if is_release && self.random.chance(DEPARTURES_PER_MILLE) {
+        if self.owners_depart && is_release && self.random.chance(DEPARTURES_PER_MILLE) {
             self.depart_during_release(caller);
         }
     }
@@ -74,7 +80,7 @@
         self.callers.returning.insert(caller);
         self.callers.keeps_lock_until_us.insert(caller, self.now_us + RETURNED_OWNER_US);
         self.callers.departures += 1;
-        if !self.freezes_during_releases || self.plans_paused {
+        if self.plans_paused {
             return;
         }
         if self.random.chance(500) {
@@ -131,13 +137,13 @@
         pending.node = running[self.random.below(running.len() as u64) as usize];
         pending.sent_us = self.now_us;
         let (node, incarnation) = (pending.node, self.data[pending.node].incarnation);
-        let call = CallArrival {
-            caller,
-            number: pending.number,
-            call: pending.call.clone(),
-            is_departure_noticed: self.random.chance(NOTICED_DEPARTURES_PER_MILLE),
-        };
+        let (number, call) = (pending.number, pending.call.clone());
         self.callers.pending.insert(caller, pending);
+        if !self.owners_depart {
+            return self.forward_call(caller, number, call, node);
+        }
+        let is_departure_noticed = self.random.chance(NOTICED_DEPARTURES_PER_MILLE);
+        let call = CallArrival { caller, number, call, is_departure_noticed };
         self.schedule(0, Event::CallArrives { call, data: node, incarnation });
     }
 
@@ -148,6 +154,10 @@
         if !is_running || (is_departure_noticed && !self.is_waiting(caller, number, node)) {
             return;
         }
+        self.forward_call(caller, number, call, node);
+    }
+
+    fn forward_call(&mut self, caller: usize, number: u64, call: Call, node: usize) {
         let request = Request::Call { id: Some(call_id(number)), call };
         let recipient = ResponseRecipient::Caller { caller, number };
         self.send_to_controller(node, request, RESPONSE_WAIT_MS, recipient);
--- a/crates/simulation/src/world/mod.rs
+++ b/crates/simulation/src/world/mod.rs
@@ -82,8 +82,9 @@
     /// The stage of a one-time request right before which the next data node to reach it freezes;
     /// `None` if no such fault is active.
     pub freeze_before: Option<Stage>,
-    /// Whether a process freezes at some step of each release whose caller departs.
-    pub freezes_during_releases: bool,
+    /// Whether callers depart during the release of their lock, and a process freezes at some step
+    /// of each such release until plans are paused.
+    pub owners_depart: bool,
     /// The id of the newest request that a client has sent; ids count from 1.
     pub last_request_id: u64,
     /// Mean pause between two requests of the clients, in microseconds.
@@ -140,7 +141,7 @@
             seeds: (0..3).map(|at| address(1, at, 1)).collect(),
             frozen: BTreeMap::new(),
             freeze_before: None,
-            freezes_during_releases: false,
+            owners_depart: false,
             last_request_id: 0,
             request_pause_us: 12_000,
             plans_paused: false,
--- a/crates/simulation/tests/failures.rs
+++ b/crates/simulation/tests/failures.rs
@@ -46,7 +46,7 @@
     let (mut departures, mut confirmations) = (0, 0);
     for seed in 1..=8 {
         let scenario = Scenario {
-            freezes_during_releases: true,
+            owners_depart: true,
             script: vec![(LOCK_RUN_MS, Fault::Heal)],
             ..Scenario::new(seed, &[], 0)
         };
