Answer a coordination call that was sent to no process as not run

A data node answered 504, which may have run, to a call that was never sent: its client had departed before, or the node has no contact with the control plane. The control planes of both dialects answer 503 there. The response that says so is provable (Response::Unavailable), so the data node answers 503 not-run, too.

Found on reading the change again.

--- a/programs/data-plane/src/coordination.rs
+++ b/programs/data-plane/src/coordination.rs
@@ -49,6 +49,7 @@
     match shared.control_loop.request(request, CONTROLLER_REQUEST_MS, client) {
         Response::Outcome(outcome) => render_outcome(outcome),
         Response::Refused(reason) => error(400, &reason),
+        Response::Unavailable => error(503, "no controller responds"),
         _ if is_read => error(503, "no controller responds"),
         Response::Full => error(503, "the log has no space for more calls"),
         _ => unknown_outcome(client_key.is_none().then_some(key)),
--- a/programs/data-plane/src/tests/client_departure/one_time.rs
+++ b/programs/data-plane/src/tests/client_departure/one_time.rs
@@ -159,7 +159,10 @@
         let rig = start_node(false, &[]);
         let (near, client) = connected_pair();
         drop(client);
-        serve(&rig.shared, &head, body.as_bytes(), &ClientWatch::new(&near));
+        let response = serve(&rig.shared, &head, body.as_bytes(), &ClientWatch::new(&near));
+        let outcome = ("Postbarrow-Outcome".to_string(), "not-run".to_string());
+        assert_eq!(response.status, 503, "{method} {path}");
+        assert!(response.headers.contains(&outcome), "{method} {path}");
         rig.withdrawn();
         let requested = rig.requested.lock().unwrap();
         let is_forwarded = requested.iter().any(|request| matches!(request, Request::Call { .. }));
