--- a/crates/simulation/src/search/forwarded/delivery.rs
+++ b/crates/simulation/src/search/forwarded/delivery.rs
@@ -86,6 +86,14 @@
         }
     }
 
+    /// Returns whether a call is not sent yet and its caller and client can send it now.
+    pub(super) fn may_send(&self, state: &ForwardedState, call_index: usize) -> bool {
+        let incarnation = state.incarnations[self.calls[call_index].client];
+        state.progress[call_index] == Progress::Unsent
+            && self.incarnation_of(call_index) == incarnation
+            && self.has_caller_returned(state, call_index)
+    }
+
     /// Sends a call through its client.
     pub(super) fn send_call(&self, state: &mut ForwardedState, call_index: usize) {
         let ForwardedCall { client, id, call, .. } = self.calls[call_index].clone();
--- a/crates/simulation/src/search/forwarded/departure.rs
+++ b/crates/simulation/src/search/forwarded/departure.rs
@@ -37,8 +37,8 @@
 }
 
 impl ForwardedCalls {
-    /// Returns whether the caller of the call with this index may send it now.
-    pub(super) fn may_caller_send(&self, state: &ForwardedState, call: usize) -> bool {
+    /// Returns whether the departing caller, if this call is its later start, has returned.
+    pub(super) fn has_caller_returned(&self, state: &ForwardedState, call: usize) -> bool {
         self.departing_caller
             .is_none_or(|caller| call != caller.start || state.departure.has_departed)
     }
--- a/crates/simulation/src/search/forwarded/mod.rs
+++ b/crates/simulation/src/search/forwarded/mod.rs
@@ -128,14 +128,10 @@
 
     fn actions(&self, state: &ForwardedState) -> Vec<ForwardedAction> {
         use ForwardedAction::*;
-        let is_sendable = |call_index: &usize| {
-            let incarnations = state.incarnations[self.calls[*call_index].client];
-            state.progress[*call_index] == Progress::Unsent
-                && self.incarnation_of(*call_index) == incarnations
-                && self.may_caller_send(state, *call_index)
-        };
-        let mut actions: Vec<_> =
-            (0..self.calls.len()).filter(is_sendable).map(ClientSends).collect();
+        let mut actions: Vec<_> = (0..self.calls.len())
+            .filter(|call| self.may_send(state, *call))
+            .map(ClientSends)
+            .collect();
         actions.extend((0..state.in_flight.len()).map(FrameArrives));
         let losable_count = if state.remaining_losses > 0 { state.in_flight.len() } else { 0 };
         actions.extend((0..losable_count).map(FrameIsLost));
