--- a/review/5/case.py
+++ b/review/5/case.py
@@ -289,16 +289,20 @@
     return 0
 
 
-def ended(signum, frame):
-    raise TimeoutError
+class OutOfTime(Exception):
+    pass
 
 
-signal.signal(signal.SIGALRM, ended)
-signal.signal(signal.SIGTERM, ended)
+def out_of_time(signum, frame):
+    raise OutOfTime
+
+
+signal.signal(signal.SIGALRM, out_of_time)
+signal.signal(signal.SIGTERM, out_of_time)
 signal.alarm(LIMIT_S)
 try:
     result = run()
-except TimeoutError:
+except OutOfTime:
     note("the case took too long")
     result = 2
 finally:
