--- a/crates/state/tests/accepted_plans.rs
+++ b/crates/state/tests/accepted_plans.rs
@@ -35,9 +35,9 @@
         BatchRecord::Data(start("v1", Some("v0"))),
         BatchRecord::Data(accepted("v1", Some("v0"))),
     ];
-    tail.apply(2, 10, &batch).unwrap();
+    tail.apply(2, &batch).unwrap();
     assert!(tail.pending_image().unwrap().accepted_plan("v1").is_some());
-    tail.apply(3, 10, &[BatchRecord::abort("no")]).unwrap();
+    tail.apply(3, &[BatchRecord::abort("no")]).unwrap();
     assert_eq!(*tail.image().as_ref(), initial);
 }
 
