--- a/crates/controller/src/control_node/log_commit.rs
+++ b/crates/controller/src/control_node/log_commit.rs
@@ -22,7 +22,7 @@
     fn on_batch(&mut self, now_ms: u64, offset: u64, bytes: &[u8]) {
         let records: Vec<BatchRecord<Record>> =
             decode(bytes).unwrap_or_else(|error| panic!("batch at log offset {offset}: {error}"));
-        let outcome = match self.tail.apply(offset, bytes.len(), &records) {
+        let outcome = match self.tail.apply(offset, &records) {
             Ok(outcome) => outcome,
             Err(error) => panic!("batch at log offset {offset} not applied: {error}"),
         };
--- a/crates/controller/src/control_node/plan_commit.rs
+++ b/crates/controller/src/control_node/plan_commit.rs
@@ -2,15 +2,17 @@
 
 use crate::ControlNode;
 use crate::leader_state::OpenPlan;
-use crate::operator_body::{Submitted, json};
+use crate::operator_body::{Refused, Submitted, json};
 use crate::origin::Origin;
-use crate::plan_delta::plan_records;
+use crate::plan_delta::plan_batches;
 use postbarrow_messages::Submission;
 use postbarrow_plan::Rehearsal;
-use postbarrow_state::{Digest, Record};
-use postbarrow_transactions::{BatchRecord, encode};
+use postbarrow_state::{Digest, Record, State};
+use postbarrow_transactions::{BatchRecord, TransactionError};
 
 impl ControlNode {
+    /// Begins the plan's transaction. A plan whose transaction would exceed its bound is refused
+    /// before anything is written to the log.
     pub(super) fn begin_plan(
         &mut self,
         now_ms: u64,
@@ -18,18 +20,36 @@
         mut submission: Submission,
         digest: Digest,
     ) {
-        let name = format!("plan {}", submission.version);
         let Some(state) = self.proposed_state() else { return };
-        let records = plan_records(state, std::mem::take(&mut submission.records));
+        let batches = plan_batches(state, std::mem::take(&mut submission.records));
+        let name = format!("plan {}", submission.version);
         let Some(leader) = &mut self.leader else { return };
-        let Some(begin) = leader.writer.begin(now_ms, &name) else { return };
+        let begin = match leader.writer.begin(now_ms, &name, &batches) {
+            Ok(begin) => begin,
+            Err(error) => return self.refuse_too_large_plan(now_ms, origin, &submission, &error),
+        };
         let offset = self.propose_batch(now_ms, vec![begin]);
         if let Some(leader) = &mut self.leader {
-            leader.transaction.open(OpenPlan::new(origin, submission, digest, records, offset));
+            leader.transaction.open(OpenPlan::new(origin, submission, digest, batches, offset));
         }
         self.propose_plan_batches(now_ms);
     }
 
+    fn refuse_too_large_plan(
+        &mut self,
+        now_ms: u64,
+        origin: Origin,
+        submission: &Submission,
+        error: &TransactionError,
+    ) {
+        let version = &submission.version;
+        self.log_line(format!("plan refused version={version} reason=\"{error}\""));
+        let in_force = self.proposed_state().and_then(State::plan_version);
+        let refused =
+            json(413, &Refused::new(&format!("the plan is too large: {error}"), in_force));
+        self.reply_when_committed(now_ms, origin, refused);
+    }
+
     /// Proposes batches of the open plan up to the limit of batches in flight. Once all are
     /// proposed, rehearses and finishes the plan.
     pub(super) fn propose_plan_batches(&mut self, now_ms: u64) {
@@ -42,11 +62,6 @@
                 return;
             }
             let Some(batch) = plan.next_batch() else { break };
-            let batch: Vec<BatchRecord<Record>> =
-                batch.into_iter().map(BatchRecord::Data).collect();
-            if !leader.writer.add_transaction_bytes(encode(&batch).len()) {
-                return self.refuse_plan(now_ms, 413, "the plan is over the bound of one delta");
-            }
             let offset = self.propose_batch(now_ms, batch);
             let leader = self.leader.as_mut();
             if let Some(plan) = leader.and_then(|leader| leader.transaction.plan_mut()) {
--- a/crates/controller/src/leader_state/log_writer.rs
+++ b/crates/controller/src/leader_state/log_writer.rs
@@ -2,7 +2,7 @@
 
 use super::reply::Reply;
 use postbarrow_state::{Record, State};
-use postbarrow_transactions::{BatchRecord, Writer};
+use postbarrow_transactions::{BatchRecord, TransactionError, Writer};
 
 /// The writer of a leader, which it has once it serves, and its pending replies.
 #[derive(Default)]
@@ -39,16 +39,19 @@
         }
     }
 
-    /// Begins a transaction and returns its Begin marker; `None` while another is open.
-    pub fn begin(&mut self, now_ms: u64, name: &str) -> Option<BatchRecord<Record>> {
-        self.writer.as_mut().and_then(|writer| writer.begin(now_ms, name).ok())
-    }
-
-    /// Adds the size of a batch to that of the open transaction. Returns whether the transaction is
-    /// still within its size limit.
-    pub fn add_transaction_bytes(&mut self, size_bytes: usize) -> bool {
-        let writer = self.writer.as_mut().expect("an open transaction has a writer");
-        writer.add_bytes(size_bytes).is_ok()
+    /// Begins a transaction of these batches and returns its Begin marker.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Writer::begin`], and `NotOpen` before serving starts.
+    pub fn begin(
+        &mut self,
+        now_ms: u64,
+        name: &str,
+        batches: &[Vec<BatchRecord<Record>>],
+    ) -> Result<BatchRecord<Record>, TransactionError> {
+        let writer = self.writer.as_mut().ok_or(TransactionError::NotOpen)?;
+        writer.begin(now_ms, name, batches)
     }
 
     pub fn end(&mut self) -> Option<BatchRecord<Record>> {
--- a/crates/controller/src/leader_state/open_plan.rs
+++ b/crates/controller/src/leader_state/open_plan.rs
@@ -4,7 +4,7 @@
 use postbarrow_constants::plans::BATCHES_IN_FLIGHT;
 use postbarrow_messages::Submission;
 use postbarrow_state::{Digest, Name, Record};
-use postbarrow_transactions::split;
+use postbarrow_transactions::BatchRecord;
 use std::collections::VecDeque;
 
 /// The plan of the open transaction, with its batches that are not proposed or not committed yet.
@@ -16,19 +16,19 @@
     pub dry_run: bool,
     pub allow_empty: bool,
     /// Batches that are not proposed yet, in order.
-    batches: VecDeque<Vec<Record>>,
+    batches: VecDeque<Vec<BatchRecord<Record>>>,
     /// Log offsets of the entries that are proposed but not known to be committed, in order.
     in_flight: VecDeque<u64>,
 }
 
 impl OpenPlan {
-    /// Creates the open plan of a submission whose Begin has this log offset. `records` are the
-    /// records that are written to the log for it.
+    /// Creates the open plan of a submission whose Begin has this log offset. `batches` are what is
+    /// written to the log between Begin and End.
     pub fn new(
         origin: Origin,
         submission: Submission,
         digest: Digest,
-        records: Vec<Record>,
+        batches: Vec<Vec<BatchRecord<Record>>>,
         begin_offset: u64,
     ) -> Self {
         OpenPlan {
@@ -38,7 +38,7 @@
             digest,
             dry_run: submission.dry_run,
             allow_empty: submission.allow_empty,
-            batches: split(records).into(),
+            batches: batches.into(),
             in_flight: VecDeque::from([begin_offset]),
         }
     }
@@ -53,7 +53,7 @@
         self.in_flight.len() >= BATCHES_IN_FLIGHT
     }
 
-    pub fn next_batch(&mut self) -> Option<Vec<Record>> {
+    pub fn next_batch(&mut self) -> Option<Vec<BatchRecord<Record>>> {
         self.batches.pop_front()
     }
 
--- a/crates/controller/tests/transactions.rs
+++ b/crates/controller/tests/transactions.rs
@@ -75,18 +75,23 @@
 }
 
 #[test]
-fn a_plan_over_the_delta_size_limit_is_aborted() {
+fn a_plan_over_the_delta_size_limit_is_refused_before_it_is_written() {
     let mut harness = Harness::serving();
     let mut huge = submission(&plan("v1", None, 1, "catalogue"));
     huge.records.extend((0..600).map(|_| Record::PlanText(vec![32; 16 * 1024])));
     harness.request(1, Request::Submit(huge));
+    let records_before = harness.records.len();
     harness.run_until_idle();
-    assert_eq!(harness.status(1), Some(413));
-    assert!(markers(&harness)[1].contains("over the bound"));
+    let Some(Response::Operator { status: 413, body }) = harness.response(1) else {
+        panic!("the plan is not refused: {:?}", harness.response(1))
+    };
+    assert!(String::from_utf8_lossy(body).contains("over the bound of 8388608 bytes"));
+    assert_eq!(harness.records.len(), records_before, "a refused plan was written to the log");
+    assert_eq!(markers(&harness), [""; 0]);
     assert_eq!(harness.state().plan_version(), None);
     harness.submit(2, &plan("v1", None, 1, "catalogue"));
     harness.run_until_idle();
-    assert_eq!(harness.status(2), Some(200), "a plan is accepted after an abort");
+    assert_eq!(harness.status(2), Some(200), "a plan is accepted after a refusal");
 }
 
 fn unfinished_plan_entries() -> Vec<Entry> {
--- a/crates/node/src/image_tail.rs
+++ b/crates/node/src/image_tail.rs
@@ -155,8 +155,8 @@
                 *due_ms = (*due_ms).min(now_ms + TAIL_RETRY_MS);
                 break;
             }
-            let outcome = decode(&entry.bytes)
-                .and_then(|records| self.tail.apply(entry.offset, entry.bytes.len(), &records));
+            let outcome =
+                decode(&entry.bytes).and_then(|records| self.tail.apply(entry.offset, &records));
             match outcome {
                 Ok(BatchOutcome::Pending) => self.relay.push(entry),
                 Ok(_) => {
--- a/crates/transactions/src/batch.rs
+++ b/crates/transactions/src/batch.rs
@@ -3,6 +3,7 @@
 use crate::{BatchRecord, TransactionError};
 use postbarrow_constants::plans::{BATCH_BYTES, MARKER_TEXT_BYTES};
 use serde::{Serialize, de::DeserializeOwned};
+use std::io::{self, Write};
 
 /// The format number, the first byte of each batch: a reader that does not know the format rejects
 /// the batch instead of misreading it.
@@ -20,6 +21,33 @@
     bytes
 }
 
+/// Returns the number of bytes that [`encode`] returns for these records, without storing them.
+///
+/// # Panics
+///
+/// If a record can't be encoded, like [`encode`].
+pub fn encoded_bytes<R: Serialize>(records: &[BatchRecord<R>]) -> usize {
+    let mut counter = ByteCounter { bytes: size_of_val(&FORMAT) };
+    rmp_serde::encode::write(&mut counter, records).expect("counting bytes succeeds");
+    counter.bytes
+}
+
+/// A writer that only counts the bytes written to it.
+struct ByteCounter {
+    bytes: usize,
+}
+
+impl Write for ByteCounter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.bytes += bytes.len();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Decodes the records of a batch.
 ///
 /// # Errors
--- a/crates/transactions/src/error.rs
+++ b/crates/transactions/src/error.rs
@@ -11,9 +11,14 @@
     /// The writer has no transaction in progress.
     #[error("no transaction is open")]
     NotOpen,
-    /// The batches of the writer's transaction exceed `DELTA_BYTES`.
-    #[error("the transaction exceeds {DELTA_BYTES} bytes")]
-    DeltaTooLarge,
+    /// The pending delta of the writer's transaction would exceed `DELTA_BYTES`.
+    #[error(
+        "its change takes {size_bytes} bytes in the log, over the bound of {DELTA_BYTES} bytes"
+    )]
+    DeltaTooLarge {
+        /// Size of the pending delta in bytes.
+        size_bytes: usize,
+    },
     /// A batch has a format that this release doesn't read.
     #[error("batch of unknown format {0:?}")]
     UnknownFormat(
@@ -59,10 +64,4 @@
         /// Index of the marker in its batch, from 0.
         position: usize,
     },
-    /// The batches in a tail's pending delta exceed `DELTA_BYTES`.
-    #[error("offset {offset}: pending delta over {DELTA_BYTES} bytes")]
-    PendingDeltaTooLarge {
-        /// The batch's log offset.
-        offset: u64,
-    },
 }
--- a/crates/transactions/src/lib.rs
+++ b/crates/transactions/src/lib.rs
@@ -3,12 +3,14 @@
 
 mod batch;
 mod batch_record;
+mod delta_size;
 mod error;
 mod tail;
 mod writer;
 
-pub use batch::{decode, encode, split};
+pub use batch::{decode, encode, encoded_bytes, split};
 pub use batch_record::{BatchRecord, truncate_marker_text};
+pub use delta_size::delta_bytes;
 pub use error::TransactionError;
 pub use tail::{BatchOutcome, Tail};
 pub use writer::Writer;
--- a/crates/transactions/src/tail.rs
+++ b/crates/transactions/src/tail.rs
@@ -1,7 +1,6 @@
 //! A reader of the log.
 
 use crate::{BatchRecord, Image, TransactionError};
-use postbarrow_constants::plans::DELTA_BYTES;
 use std::sync::Arc;
 
 /// The effect of a batch on the published image.
@@ -18,11 +17,10 @@
     },
 }
 
-/// The state within a transaction in progress, and the size of its batches so far.
+/// The state within a transaction in progress.
 #[derive(Clone)]
 struct PendingDelta<I> {
     image: I,
-    size_bytes: usize,
     name: Option<String>,
 }
 
@@ -49,28 +47,22 @@
         Tail { image: Arc::new(image), offset, pending: None }
     }
 
-    /// Applies one atomic batch, which has `size_bytes` bytes when encoded.
+    /// Applies one atomic batch. Its size is not bounded here: the writer bounds a transaction
+    /// before it begins, and what is committed must be applied.
     ///
     /// # Errors
     ///
-    /// Misplaced markers, an offset that is not after the last one, or a pending delta over its
-    /// bound. The tail is then unchanged, and its owner must fetch an image.
+    /// Misplaced markers, or an offset that is not after the last one. The tail is then unchanged,
+    /// and its owner must fetch an image.
     pub fn apply(
         &mut self,
         offset: u64,
-        size_bytes: usize,
         records: &[BatchRecord<I::Record>],
     ) -> Result<BatchOutcome, TransactionError> {
         if offset <= self.offset {
             return Err(TransactionError::OffsetNotAfter { offset, last: self.offset });
         }
-        let mut next = self.next_state(offset, records)?;
-        if let Some(delta) = &mut next.pending {
-            delta.size_bytes += size_bytes;
-            if delta.size_bytes > DELTA_BYTES {
-                return Err(TransactionError::PendingDeltaTooLarge { offset });
-            }
-        }
+        let next = self.next_state(offset, records)?;
         if let Some(image) = next.image {
             self.image = Arc::new(image);
         }
@@ -92,7 +84,7 @@
             match (record, pending.take()) {
                 (BatchRecord::Begin { name }, None) => {
                     let name = name.clone();
-                    pending = Some(PendingDelta { image: base(), size_bytes: 0, name });
+                    pending = Some(PendingDelta { image: base(), name });
                 }
                 (BatchRecord::Data(record), Some(mut delta)) => {
                     delta.image.apply(offset, record);
--- a/crates/transactions/src/writer.rs
+++ b/crates/transactions/src/writer.rs
@@ -1,12 +1,12 @@
 //! The writer's part of a transaction; a log has a single writer, the leader.
 
-use crate::{BatchRecord, Image, TransactionError, truncate_marker_text};
+use crate::{BatchRecord, Image, TransactionError, delta_bytes, truncate_marker_text};
 use postbarrow_constants::plans::{DELTA_BYTES, TRANSACTION_OPEN_MS};
+use serde::Serialize;
 
-/// The writer's transaction in progress: its start, its size, and the state to return to.
+/// The writer's transaction in progress: its start, and the state to return to.
 struct OpenTransaction<I> {
     since_ms: u64,
-    size_bytes: usize,
     state_before: I,
 }
 
@@ -24,34 +24,33 @@
         Writer { term, proposed_state: committed, open: None }
     }
 
-    /// Starts a transaction and returns its Begin marker for the log.
+    /// Starts a transaction that consists of a batch with its Begin marker, of `batches`, and of a
+    /// batch with its End or Abort marker. Returns the Begin marker for the log.
     ///
     /// # Errors
     ///
-    /// `AlreadyOpen` if a transaction is in progress.
+    /// `AlreadyOpen` if a transaction is in progress; `DeltaTooLarge` if the pending delta of this
+    /// one would exceed `DELTA_BYTES`. No transaction is started then, and nothing may be written.
     pub fn begin(
         &mut self,
         now_ms: u64,
         name: &str,
-    ) -> Result<BatchRecord<I::Record>, TransactionError> {
+        batches: &[Vec<BatchRecord<I::Record>>],
+    ) -> Result<BatchRecord<I::Record>, TransactionError>
+    where
+        I::Record: Serialize,
+    {
         if self.open.is_some() {
             return Err(TransactionError::AlreadyOpen);
         }
+        let begin = BatchRecord::begin(&truncate_marker_text(name));
+        let size_bytes = delta_bytes(std::slice::from_ref(&begin), batches);
+        if size_bytes > DELTA_BYTES {
+            return Err(TransactionError::DeltaTooLarge { size_bytes });
+        }
         let state_before = self.proposed_state.clone();
-        self.open = Some(OpenTransaction { since_ms: now_ms, size_bytes: 0, state_before });
-        Ok(BatchRecord::begin(&truncate_marker_text(name)))
-    }
-
-    /// Adds the size of a batch to that of the open transaction, which `DELTA_BYTES` bounds.
-    ///
-    /// # Errors
-    ///
-    /// `NotOpen` if no transaction is open; another error if the transaction exceeds the bound,
-    /// after which it must be aborted.
-    pub fn add_bytes(&mut self, size_bytes: usize) -> Result<(), TransactionError> {
-        let open = self.open.as_mut().ok_or(TransactionError::NotOpen)?;
-        open.size_bytes += size_bytes;
-        if open.size_bytes > DELTA_BYTES { Err(TransactionError::DeltaTooLarge) } else { Ok(()) }
+        self.open = Some(OpenTransaction { since_ms: now_ms, state_before });
+        Ok(begin)
     }
 
     /// Applies a record that is proposed at this log offset.
--- a/crates/transactions/tests/framing.rs
+++ b/crates/transactions/tests/framing.rs
@@ -22,16 +22,16 @@
 #[test]
 fn image_is_published_at_end_only_and_is_unchanged_by_an_abort() {
     let mut tail = Tail::new(0, Values::default());
-    assert_eq!(tail.apply(1, 1, &[data(1)]), Ok(BatchOutcome::Published));
-    assert_eq!(tail.apply(2, 1, &[BatchRecord::begin("plan"), data(2)]), Ok(BatchOutcome::Pending));
-    assert_eq!(tail.apply(3, 1, &[data(3)]), Ok(BatchOutcome::Pending));
+    assert_eq!(tail.apply(1, &[data(1)]), Ok(BatchOutcome::Published));
+    assert_eq!(tail.apply(2, &[BatchRecord::begin("plan"), data(2)]), Ok(BatchOutcome::Pending));
+    assert_eq!(tail.apply(3, &[data(3)]), Ok(BatchOutcome::Pending));
     assert_eq!(tail.image().0, [1]);
     assert_eq!(tail.pending_image().map(|staged| staged.0.clone()), Some(vec![1, 2, 3]));
-    let aborted = tail.apply(4, 1, &[data(4), BatchRecord::abort("broken")]);
+    let aborted = tail.apply(4, &[data(4), BatchRecord::abort("broken")]);
     assert_eq!(aborted, Ok(BatchOutcome::Aborted { reason: Some("broken".into()) }));
     assert_eq!(tail.image().0, [1]);
     assert_eq!(
-        tail.apply(5, 1, &[BatchRecord::begin("again"), data(5), BatchRecord::End]),
+        tail.apply(5, &[BatchRecord::begin("again"), data(5), BatchRecord::End]),
         Ok(BatchOutcome::Published)
     );
     assert_eq!(tail.image().0, [1, 5]);
@@ -40,35 +40,80 @@
 #[test]
 fn misplaced_markers_are_errors_and_leave_the_tail_unchanged() {
     let mut tail = Tail::new(0, Values::default());
-    assert!(
-        tail.apply(1, 1, &[BatchRecord::End]).unwrap_err().to_string().contains("without Begin")
-    );
-    assert!(tail.apply(1, 1, &[data(7), BatchRecord::abort("x")]).is_err());
+    assert!(tail.apply(1, &[BatchRecord::End]).unwrap_err().to_string().contains("without Begin"));
+    assert!(tail.apply(1, &[data(7), BatchRecord::abort("x")]).is_err());
     assert_eq!((tail.image().0.len(), tail.offset()), (0, 0));
-    tail.apply(1, 1, &[BatchRecord::begin("one")]).unwrap();
+    tail.apply(1, &[BatchRecord::begin("one")]).unwrap();
     assert!(
-        tail.apply(2, 1, &[BatchRecord::begin("two")])
+        tail.apply(2, &[BatchRecord::begin("two")])
             .unwrap_err()
             .to_string()
             .contains("within transaction \"one\"")
     );
     assert_eq!(tail.open_transaction_name(), Some("one"));
-    assert!(tail.apply(1, 1, &[data(1)]).unwrap_err().to_string().contains("not after"));
+    assert!(tail.apply(1, &[data(1)]).unwrap_err().to_string().contains("not after"));
+}
+
+/// Returns the batches of a transaction with this name whose pending delta has this many bytes.
+fn sized_batches(name: &str, size_bytes: usize) -> Vec<Vec<BatchRecord<String>>> {
+    let begin = [BatchRecord::begin(name)];
+    let batches = |length| vec![vec![BatchRecord::Data("x".repeat(length))]];
+    let length = size_bytes - 100;
+    let overhead_bytes = delta_bytes(&begin, &batches(length)) - length;
+    let sized = batches(size_bytes - overhead_bytes);
+    assert_eq!(delta_bytes(&begin, &sized), size_bytes);
+    sized
+}
+
+#[derive(Clone, Default)]
+struct Length(usize);
+
+impl Image for Length {
+    type Record = String;
+    fn apply(&mut self, _offset: u64, record: &String) {
+        self.0 += record.len();
+    }
 }
 
 #[test]
-fn pending_delta_over_its_bound_is_an_error() {
-    let mut tail = Tail::new(0, Values::default());
-    tail.apply(1, 10, &[BatchRecord::begin("big")]).unwrap();
-    tail.apply(2, DELTA_BYTES - 20, &[data(1)]).unwrap();
-    assert!(tail.apply(3, 20, &[data(2)]).unwrap_err().to_string().contains("over"));
+fn writer_begins_no_transaction_over_the_bound_with_its_begin_marker() {
+    for (name, size_bytes) in [("big", DELTA_BYTES + 1), ("big", DELTA_BYTES + 18)] {
+        let mut writer = Writer::new(3, Length::default());
+        let batches = sized_batches(name, size_bytes);
+        assert!(batches.iter().map(|batch| encode(batch).len()).sum::<usize>() <= DELTA_BYTES + 13);
+        assert_eq!(
+            writer.begin(100, name, &batches),
+            Err(TransactionError::DeltaTooLarge { size_bytes })
+        );
+        assert!(!writer.has_open_transaction());
+    }
+    let mut writer = Writer::new(3, Length::default());
+    assert!(writer.begin(100, "big", &sized_batches("big", DELTA_BYTES)).is_ok());
+}
+
+#[test]
+fn counted_bytes_are_those_of_the_encoded_batch() {
+    let batch = [BatchRecord::begin("a"), BatchRecord::Data("b".repeat(70_000)), BatchRecord::End];
+    assert_eq!(encoded_bytes(&batch), encode(&batch).len());
+    let batches = [batch.to_vec(), batch.to_vec()];
+    assert_eq!(delta_bytes(&batch, &batches), 3 * encode(&batch).len());
+}
+
+#[test]
+fn committed_transaction_over_the_bound_is_published() {
+    let mut tail = Tail::new(0, Length::default());
+    tail.apply(1, &[BatchRecord::begin("big")]).unwrap();
+    let batches = sized_batches("big", DELTA_BYTES + 1);
+    assert_eq!(tail.apply(2, &batches[0]), Ok(BatchOutcome::Pending));
+    assert_eq!(tail.apply(3, &[BatchRecord::End]), Ok(BatchOutcome::Published));
+    assert!(tail.image().0 > DELTA_BYTES - 100);
 }
 
 #[test]
 fn abort_returns_the_writer_to_its_state_at_begin() {
     let mut writer = Writer::new(3, Values(vec![1]));
-    assert_eq!(writer.begin(100, "plan"), Ok(BatchRecord::begin("plan")));
-    assert_eq!(writer.begin(100, "other"), Err(TransactionError::AlreadyOpen));
+    assert_eq!(writer.begin(100, "plan", &[]), Ok(BatchRecord::begin("plan")));
+    assert_eq!(writer.begin(100, "other", &[]), Err(TransactionError::AlreadyOpen));
     writer.apply(2, &2);
     assert_eq!(writer.proposed_state().0, [1, 2]);
     assert_eq!(writer.state_before_transaction().map(|state| state.0.clone()), Some(vec![1]));
@@ -77,9 +122,6 @@
     assert_eq!(writer.abort("late"), Ok(BatchRecord::abort("late")));
     assert_eq!(writer.proposed_state().0, [1]);
     assert_eq!(writer.end(), Err(TransactionError::NotOpen));
-    writer.begin(200, "big").unwrap();
-    writer.add_bytes(DELTA_BYTES).unwrap();
-    assert_eq!(writer.add_bytes(1), Err(TransactionError::DeltaTooLarge));
 }
 
 #[test]
