A panic of an essential thread ends its process

Change: threads without which a process can't work (control loop, disk, listeners, endpoint list, node loop, probes) are started by transport::spawn_essential; its panic hook ends the process with status 101 before unwinding, which could wait for a stalled disk. Threads of single connections still end alone. Test: a process with a panic in an essential thread ends within 1 s with status 101, one with a panic in another thread lives on.

--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -2,6 +2,7 @@
 #![deny(missing_docs)]
 
 mod clock;
+mod essential_thread;
 mod link;
 mod listen;
 mod poll;
@@ -9,6 +10,7 @@
 mod tcp_timeouts;
 
 pub use clock::{clock_ms, random};
+pub use essential_thread::{PANIC_STATUS, spawn_essential};
 pub use link::Links;
 pub use listen::listen;
 pub use poll::{Interest, Readiness, poll};
--- a/crates/transport/src/listen.rs
+++ b/crates/transport/src/listen.rs
@@ -1,6 +1,6 @@
 //! Incoming links: connections over which peers send messages to this process.
 
-use crate::enable_keepalive;
+use crate::{enable_keepalive, spawn_essential};
 use log::{debug, warn};
 use postbarrow_constants::traffic::{INCOMING_LINKS_MAX, STACK_BYTES};
 use postbarrow_messages::{Envelope, FrameError, read_frame};
@@ -22,7 +22,7 @@
     let address = listener.local_addr()?;
     let deliver = Arc::new(deliver);
     let links = Arc::new(AtomicUsize::new(0));
-    thread::Builder::new().name("listen".into()).spawn(move || {
+    spawn_essential("listen", move || {
         for stream in listener.incoming().flatten() {
             if links.load(Relaxed) >= INCOMING_LINKS_MAX {
                 warn!("link: too many incoming links max={INCOMING_LINKS_MAX}");
--- a/programs/control-plane/src/client_listener.rs
+++ b/programs/control-plane/src/client_listener.rs
@@ -10,7 +10,7 @@
 use postbarrow_downstream::connection::{Connection, NextRequest, ReadLimits};
 use postbarrow_downstream::head::{Head, Reject};
 use postbarrow_downstream::memory_budget::MemoryBudget;
-use postbarrow_transport::clock_ms;
+use postbarrow_transport::{clock_ms, spawn_essential};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -41,9 +41,7 @@
         body_memory: MemoryBudget::new(CONCURRENT_PLANS * PLAN_TEXT_BYTES as u64),
         connections: Arc::default(),
     };
-    thread::Builder::new()
-        .name("clients".into())
-        .spawn(move || client_listener.accept(&listener))?;
+    spawn_essential("clients", move || client_listener.accept(&listener))?;
     Ok(address)
 }
 
--- a/programs/control-plane/src/control_plane.rs
+++ b/programs/control-plane/src/control_plane.rs
@@ -11,13 +11,12 @@
 use postbarrow_constants::coordination::SUBMIT_WAIT_MS;
 use postbarrow_controller::ControlNode;
 use postbarrow_startup::Startup;
-use postbarrow_transport::{clock_ms, listen, random};
+use postbarrow_transport::{clock_ms, listen, random, spawn_essential};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::SeqCst;
 use std::sync::mpsc::{Sender, channel};
-use std::thread;
 use std::time::Duration;
 
 /// A running control node.
@@ -72,7 +71,7 @@
             pending_requests: request_sender.pending_requests(),
         };
         let control_loop = ControlLoop::new(node, connections);
-        thread::Builder::new().name("control".into()).spawn(move || control_loop.run(queue))?;
+        spawn_essential("control", move || control_loop.run(queue))?;
         let envelopes = commands.clone();
         listen(listener, move |envelope| envelopes.send(Command::Envelope(envelope)).is_ok())?;
         let http =
--- a/programs/control-plane/src/disk_writer.rs
+++ b/programs/control-plane/src/disk_writer.rs
@@ -6,6 +6,7 @@
 use postbarrow_consensus::Write;
 use postbarrow_constants::consensus::DISK_FULL_PAUSE_MS;
 use postbarrow_storage::{Disk, Reservation, Storage, WriteError};
+use postbarrow_transport::spawn_essential;
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
@@ -47,8 +48,7 @@
             writes: 0,
             is_full: false,
         };
-        let thread =
-            thread::Builder::new().name("disk".into()).spawn(move || write_loop.run(&receiver))?;
+        let thread = spawn_essential("disk", move || write_loop.run(&receiver))?;
         Ok(DiskWriter { queue: Some(queue), thread: Some(thread), is_ending })
     }
 
--- a/programs/control-plane/src/endpoint_list_fetcher.rs
+++ b/programs/control-plane/src/endpoint_list_fetcher.rs
@@ -4,10 +4,10 @@
 use crate::command::{Command, PageRequest};
 use postbarrow_constants::nodes::*;
 use postbarrow_controller::{Fetched, PageResult};
+use postbarrow_transport::spawn_essential;
 use std::io;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
-use std::thread;
 use std::time::Duration;
 use ureq::Agent;
 
@@ -33,9 +33,7 @@
     for number in 0..LIST_IN_FLIGHT {
         let fetcher = Fetcher { agent: agent.clone(), url: url.clone(), dialect: dialect.clone() };
         let (requests, commands) = (requests.clone(), commands.clone());
-        thread::Builder::new()
-            .name(format!("list {number}"))
-            .spawn(move || fetcher.run(&requests, &commands))?;
+        spawn_essential(&format!("list {number}"), move || fetcher.run(&requests, &commands))?;
     }
     Ok(queue)
 }
--- a/programs/data-plane/src/lib.rs
+++ b/programs/data-plane/src/lib.rs
@@ -45,7 +45,7 @@
 use postbarrow_node::DataNode;
 use postbarrow_startup::Startup;
 use postbarrow_state::{Name, Node};
-use postbarrow_transport::{clock_ms, listen, random};
+use postbarrow_transport::{clock_ms, listen, random, spawn_essential};
 use shared::Shared;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -99,7 +99,7 @@
         let node =
             DataNode::new(own, startup.seeds.clone(), clock_ms()).with_lease_duration_ms(lease_ms);
         let control_loop = ControlLoop::new(node, shared.clone());
-        thread::Builder::new().name("node".into()).spawn(move || control_loop.run(queue))?;
+        spawn_essential("node", move || control_loop.run(queue))?;
         let link_shared = shared.clone();
         listen(link_listener, move |envelope| {
             link_shared.control_loop.send(Command::Envelope(envelope));
@@ -107,7 +107,7 @@
         })?;
         if shared.dialect.target_identification().is_none() {
             let probe_shared = shared.clone();
-            thread::Builder::new().name("probes".into()).spawn(move || probe::run(probe_shared))?;
+            spawn_essential("probes", move || probe::run(probe_shared))?;
         }
         if let Some(readiness_address) = startup.readiness {
             let listener = TcpListener::bind(readiness_address)?;
--- a/programs/data-plane/src/phases/accept.rs
+++ b/programs/data-plane/src/phases/accept.rs
@@ -7,6 +7,7 @@
 use log::warn;
 use postbarrow_constants::traffic::STACK_BYTES;
 use postbarrow_downstream::connection::Connection;
+use postbarrow_transport::spawn_essential;
 use std::io::{self, Write};
 use std::net::{IpAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -26,7 +27,7 @@
 /// # Errors
 /// Fails if the thread can't be started.
 pub fn listen(listener: TcpListener, role: ListenerRole, shared: Arc<Shared>) -> io::Result<()> {
-    thread::Builder::new().name("downstream".into()).spawn(move || {
+    spawn_essential("downstream", move || {
         for stream in listener.incoming() {
             let stream = match stream {
                 Ok(stream) => stream,
