A member that can't apply the committed log steps aside instead of panicking

Change: typed ApplyFailure with the log offset. The member applies nothing after it, steps down and doesn't campaign (consensus Input::SetCanLead), but stores and acknowledges entries and votes as before, so the log keeps its majority; it forwards calls while another member leads. It says so in its log (error), in the body of its 503 answers and at GET /health of the control listener, in both dialects.

--- a/crates/consensus/src/campaign.rs
+++ b/crates/consensus/src/campaign.rs
@@ -80,7 +80,7 @@
     /// election, without starting a term.
     pub(crate) fn start_pre_vote(&mut self, now_ms: u64, leaderless: bool) {
         self.election.reset_timer(now_ms);
-        if self.is_disk_stalled() {
+        if !self.may_campaign() {
             return;
         }
         self.election.leaderless = leaderless;
@@ -99,7 +99,7 @@
     /// Starts a term as its candidate. This member's own vote is synced before it requests others.
     pub(crate) fn start_vote(&mut self, now_ms: u64, leadership_transfer: bool) {
         self.election.reset_timer(now_ms);
-        if self.is_disk_stalled() {
+        if !self.may_campaign() {
             return;
         }
         self.set_role(Role::Candidate);
--- a/crates/consensus/src/fingerprint.rs
+++ b/crates/consensus/src/fingerprint.rs
@@ -45,7 +45,8 @@
     /// generator, the clock difference to the leader, and the state of departures, which no search
     /// begins.
     pub fn fingerprint(&self, time: FingerprintTime, hasher: &mut impl Hasher) {
-        (self.id, self.term, self.voted_for, self.commit_index, self.role).hash(hasher);
+        (self.id, self.term, self.voted_for, self.commit_index, self.role, self.can_lead)
+            .hash(hasher);
         (&self.log, &self.snapshot, &self.incoming_snapshot, self.voter_policy.target_voters)
             .hash(hasher);
         self.election.fingerprint(time, hasher);
--- a/crates/consensus/src/interface.rs
+++ b/crates/consensus/src/interface.rs
@@ -43,6 +43,9 @@
     /// removes it from the voters. [`Consensus::has_departed`](crate::Consensus::has_departed)
     /// returns whether the departure is complete.
     Depart,
+    /// Whether this member may lead; it may from its start. One that may not steps down and does
+    /// not campaign, but stores and acknowledges entries and votes as before.
+    SetCanLead(bool),
 }
 
 /// An action that the owner must carry out. Effects are carried out in the order in which they are
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -11,6 +11,7 @@
 mod departure_granting;
 mod disk_health;
 mod durability;
+mod eligibility;
 mod entry;
 mod fingerprint;
 mod in_flight;
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -37,6 +37,8 @@
     pub(crate) disk: DiskHealth,
     pub(crate) voter_policy: VoterPolicy,
     pub(crate) departures: Departures,
+    /// Whether the owner lets this member lead.
+    pub(crate) can_lead: bool,
     /// Effects of the input that is being handled.
     pub(crate) effects: Vec<Effect>,
 }
@@ -64,6 +66,7 @@
             disk: DiskHealth::new(now_ms),
             voter_policy: VoterPolicy::default(),
             departures: Departures::new(now_ms),
+            can_lead: true,
             effects: Vec::new(),
         }
     }
@@ -95,6 +98,7 @@
                 self.transfer_leadership(now_ms, handover_state)
             }
             Input::Depart => self.depart(now_ms),
+            Input::SetCanLead(can_lead) => self.set_can_lead(now_ms, can_lead),
         }
         std::mem::take(&mut self.effects)
     }
--- a/crates/consensus/tests/cluster/mod.rs
+++ b/crates/consensus/tests/cluster/mod.rs
@@ -5,6 +5,7 @@
 mod fixture;
 mod machine_parts;
 pub use fixture::member;
+#[allow(unused_imports)]
 pub use machine_parts::{Applied, FAST, SLOW, Speed};
 
 use fixture::{VOTERS, recovered_voter};
--- a/crates/controller/src/control_node.rs
+++ b/crates/controller/src/control_node.rs
@@ -1,5 +1,6 @@
 //! The control node: dispatches each input to its handler and returns the resulting effects.
 
+mod apply_failure;
 mod calls;
 mod compaction;
 mod contact;
@@ -36,7 +37,7 @@
 use crate::peer_directory::PeerDirectory;
 use crate::routing_updates::RoutingUpdates;
 use crate::snapshot_schedule::SnapshotSchedule;
-use crate::{Effect, Input};
+use crate::{ApplyFailure, Effect, Input};
 use postbarrow_consensus::{
     self as consensus, Consensus, Effect as LogEffect, Entry, Member, RecoveredState,
 };
@@ -63,6 +64,8 @@
     /// The endpoint list's scan state that a former leader sent with its leadership transfer.
     received_handover: Option<ReceivedHandover>,
     is_stopping: bool,
+    /// Why the committed log can't be applied; `None` while it can.
+    apply_failure: Option<ApplyFailure>,
     /// Effects of the input that is being handled, in the order in which they are to be carried
     /// out.
     effects: Vec<Effect>,
@@ -93,10 +96,11 @@
             leader: None,
             received_handover: None,
             is_stopping: false,
+            apply_failure: None,
             effects: Vec::new(),
         };
         if let Some(snapshot) = snapshot {
-            node.restore(&snapshot);
+            node.restore(now_ms, &snapshot);
         }
         node
     }
@@ -104,9 +108,8 @@
     /// Handles one input at `now_ms`, in milliseconds of a monotonic clock, and returns the effects
     /// to be carried out, in order.
     ///
-    /// # Panics
-    /// If this release can't decode a committed entry or a snapshot, or can't apply a committed
-    /// entry.
+    /// A committed entry or a snapshot that this release can't decode or apply makes the member
+    /// step aside; see [`ControlNode::apply_failure`].
     pub fn handle(&mut self, now_ms: u64, input: Input) -> Vec<Effect> {
         match input {
             Input::Tick => self.tick(now_ms),
@@ -203,7 +206,7 @@
         for effect in deferred {
             match effect {
                 LogEffect::Commit(entries) => self.on_commit(now_ms, entries),
-                LogEffect::Restore(snapshot) => self.restore(&snapshot),
+                LogEffect::Restore(snapshot) => self.restore(now_ms, &snapshot),
                 LogEffect::Role(role) => self.on_role(now_ms, role),
                 LogEffect::LeadershipReceived { handover_state, late_ms } => {
                     self.on_leadership_received(now_ms, &handover_state, late_ms)
--- a/crates/controller/src/control_node/compaction.rs
+++ b/crates/controller/src/control_node/compaction.rs
@@ -6,12 +6,17 @@
 use postbarrow_transactions::Tail;
 
 impl ControlNode {
-    /// Replaces the committed state by the snapshot's.
-    pub(super) fn restore(&mut self, snapshot: &Snapshot) {
-        let content = SnapshotContent::decode(snapshot);
+    /// Replaces the committed state by the snapshot's. A member that could not apply an earlier part
+    /// of the log continues from there.
+    pub(super) fn restore(&mut self, now_ms: u64, snapshot: &Snapshot) {
+        let content = match SnapshotContent::decode(snapshot) {
+            Ok(content) => content,
+            Err(failure) => return self.on_apply_failure(now_ms, failure),
+        };
         self.tail = Tail::new(snapshot.index, content.state.as_ref().clone());
         self.updates.restore(content.update_offset);
         self.update_log_bytes();
+        self.on_applying_again(now_ms);
     }
 
     /// Starts encoding a snapshot if one is due. A snapshot carries no transaction markers, so it
--- a/crates/controller/src/control_node/log_commit.rs
+++ b/crates/controller/src/control_node/log_commit.rs
@@ -1,16 +1,19 @@
 //! Applies committed entries to the state.
 
-use crate::ControlNode;
+use crate::{ApplyFailure, ControlNode};
 use postbarrow_consensus::{Entry, Payload};
 use postbarrow_state::Record;
-use postbarrow_transactions::{BatchOutcome, BatchRecord, decode};
+use postbarrow_transactions::{BatchOutcome, BatchRecord, TransactionError, decode};
 
 impl ControlNode {
     pub(super) fn on_commit(&mut self, now_ms: u64, entries: Vec<Entry>) {
         for entry in entries {
-            match &entry.payload {
-                Payload::TermStart | Payload::Members(_) => self.tail.skip_to(entry.index),
-                Payload::Batch(bytes) => self.on_batch(now_ms, entry.index, bytes),
+            if self.apply_failure.is_some() {
+                return;
+            }
+            if let Err(cause) = self.apply_entry(now_ms, &entry) {
+                let offset = entry.index;
+                return self.on_apply_failure(now_ms, ApplyFailure { offset, cause: cause.into() });
             }
             self.compact(now_ms);
         }
@@ -19,15 +22,27 @@
         self.propose_plan_batches(now_ms);
     }
 
-    fn on_batch(&mut self, now_ms: u64, offset: u64, bytes: &[u8]) {
-        let records: Vec<BatchRecord<Record>> =
-            decode(bytes).unwrap_or_else(|error| panic!("batch at log offset {offset}: {error}"));
-        let outcome = match self.tail.apply(offset, &records) {
-            Ok(outcome) => outcome,
-            Err(error) => panic!("batch at log offset {offset} not applied: {error}"),
-        };
+    fn apply_entry(&mut self, now_ms: u64, entry: &Entry) -> Result<(), TransactionError> {
+        match &entry.payload {
+            Payload::TermStart | Payload::Members(_) => {
+                self.tail.skip_to(entry.index);
+                Ok(())
+            }
+            Payload::Batch(bytes) => self.apply_batch(now_ms, entry.index, bytes),
+        }
+    }
+
+    fn apply_batch(
+        &mut self,
+        now_ms: u64,
+        offset: u64,
+        bytes: &[u8],
+    ) -> Result<(), TransactionError> {
+        let records: Vec<BatchRecord<Record>> = decode(bytes)?;
+        let outcome = self.tail.apply(offset, &records)?;
         self.track_committed(now_ms, &records);
         self.updates.on_batch(offset, records, outcome == BatchOutcome::Pending);
+        Ok(())
     }
 
     /// Updates the retention queue and the lock deadlines of the leader by these committed records.
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -33,6 +33,7 @@
 
 #![deny(missing_docs)]
 
+mod apply_failure;
 mod call_check;
 mod call_decision;
 mod control_node;
@@ -53,6 +54,7 @@
 mod snapshot_schedule;
 mod submission_check;
 
+pub use apply_failure::{ApplyError, ApplyFailure};
 pub use call_decision::decide_call;
 pub use control_node::ControlNode;
 pub use effect::Effect;
--- a/crates/controller/src/snapshot.rs
+++ b/crates/controller/src/snapshot.rs
@@ -1,5 +1,6 @@
 //! The content of snapshots, and snapshots that are still to be encoded.
 
+use crate::{ApplyError, ApplyFailure};
 use postbarrow_consensus::Snapshot;
 use postbarrow_state::State;
 use serde::{Deserialize, Serialize};
@@ -16,15 +17,16 @@
 impl SnapshotContent {
     /// Decodes a recovered or received snapshot. One without bytes gives an empty state.
     ///
-    /// # Panics
-    /// Panics if the bytes can't be decoded. Their checksums were right, so they are of a format
-    /// that this release doesn't know.
-    pub fn decode(snapshot: &Snapshot) -> Self {
+    /// # Errors
+    /// The bytes can't be decoded.
+    pub fn decode(snapshot: &Snapshot) -> Result<Self, ApplyFailure> {
         if snapshot.state.is_empty() {
-            return SnapshotContent::default();
+            return Ok(SnapshotContent::default());
         }
-        rmp_serde::from_slice(&snapshot.state)
-            .unwrap_or_else(|error| panic!("can't decode snapshot {}: {error}", snapshot.index))
+        rmp_serde::from_slice(&snapshot.state).map_err(|error| ApplyFailure {
+            offset: snapshot.index,
+            cause: ApplyError::Snapshot(error.to_string()),
+        })
     }
 }
 
--- a/programs/control-plane/src/client_listener.rs
+++ b/programs/control-plane/src/client_listener.rs
@@ -3,6 +3,7 @@
 
 use crate::RequestSender;
 use crate::client_handler::{ClientHandler, ClientRequest};
+use crate::member_health::HEALTH_PATH;
 use log::warn;
 use postbarrow_constants::plans::PLAN_TEXT_BYTES;
 use postbarrow_constants::traffic::{BODY_WAIT_MS, CLIENT_CONNECTIONS, STACK_BYTES};
@@ -10,6 +11,7 @@
 use postbarrow_downstream::connection::{Connection, NextRequest, ReadLimits};
 use postbarrow_downstream::head::{Head, Reject};
 use postbarrow_downstream::memory_budget::MemoryBudget;
+use postbarrow_node::TargetResponse;
 use postbarrow_transport::{clock_ms, spawn_essential};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -98,7 +100,7 @@
                 Ok(body) => body,
                 Err(reject) => return self.reject(&mut connection, reject),
             };
-            let response = self.handler.answer(&ClientRequest {
+            let response = self.answer(&ClientRequest {
                 head: &head,
                 body: &body.bytes,
                 request_sender: &self.request_sender,
@@ -111,6 +113,24 @@
         }
     }
 
+    /// Returns the response of the dialect, or that of the health check. While this member can't
+    /// apply the log, a response that no controller is available says so.
+    fn answer(&self, request: &ClientRequest<'_>) -> TargetResponse {
+        let failure = self.request_sender.health().failure_text();
+        if request.head.path() == HEALTH_PATH {
+            return match (request.head.method.as_str(), failure) {
+                ("GET" | "HEAD", None) => health_response(200),
+                ("GET" | "HEAD", Some(failure)) => self.handler.reject(503, &failure),
+                _ => self.handler.reject(405, "another method"),
+            };
+        }
+        let mut response = self.handler.answer(request);
+        if let Some(failure) = failure.filter(|_| response.status == 503) {
+            response.body = self.handler.reject(503, &failure).body;
+        }
+        response
+    }
+
     fn read_body(&self, connection: &mut Connection, head: &Head) -> Result<Body, Reject> {
         if head.expects_continue && connection.send_continue().is_err() {
             return Err(body::CLIENT_DEPARTED);
@@ -128,5 +148,10 @@
     }
 }
 
+fn health_response(status: u16) -> TargetResponse {
+    let headers = vec![("Content-Type".to_string(), "application/json".to_string())];
+    TargetResponse { status, headers, body: b"{}".to_vec() }
+}
+
 #[cfg(test)]
 mod tests;
--- a/programs/control-plane/src/client_listener/tests.rs
+++ b/programs/control-plane/src/client_listener/tests.rs
@@ -4,8 +4,8 @@
 use super::*;
 use crate::command::Command;
 use crate::operator_handler::OperatorHandler;
+use postbarrow_controller::{ApplyError, ApplyFailure};
 use postbarrow_messages::{Request, Response};
-use postbarrow_node::TargetResponse;
 use postbarrow_state::Call;
 use std::io::{Read, Write};
 use std::net::Shutdown;
@@ -177,3 +177,31 @@
     stream.read_to_string(&mut response).unwrap();
     assert!(response.starts_with("HTTP/1.1 413"), "{response}");
 }
+
+#[test]
+fn health_and_answers_state_that_the_member_has_stepped_aside() {
+    let fixture = start_listener();
+    let get = |path: &str| {
+        let mut stream = fixture
+            .send(&format!("GET {path} HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\r\n"));
+        stream.set_read_timeout(Some(HANG_TIMEOUT)).unwrap();
+        if path == "/plan" {
+            let (_, _, reply) = fixture.next_request();
+            reply.send(Response::Unavailable).unwrap();
+        }
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        text
+    };
+    assert!(get("/health").starts_with("HTTP/1.1 200 "));
+    assert!(get("/plan").contains("no controller is in reach"));
+    let cause = ApplyError::Snapshot("unknown".into());
+    fixture.request_sender.health().set(Some(&ApplyFailure { offset: 77, cause }));
+    for path in ["/health", "/plan"] {
+        let text = get(path);
+        assert!(text.starts_with("HTTP/1.1 503 "), "{text}");
+        assert!(text.contains("has stepped aside") && text.contains("offset 77"), "{text}");
+    }
+    fixture.request_sender.health().set(None);
+    assert!(get("/health").starts_with("HTTP/1.1 200 "));
+}
--- a/programs/control-plane/src/control_loop.rs
+++ b/programs/control-plane/src/control_loop.rs
@@ -4,6 +4,7 @@
 use crate::command::{Command, PageRequest};
 use crate::disk_writer::DiskWriter;
 use crate::graceful_shutdown::GracefulShutdown;
+use crate::member_health::MemberHealth;
 use log::{error, info, warn};
 use postbarrow_constants::consensus::TICK_MS;
 use postbarrow_controller::{Contact, ControlNode, Effect, Input, PendingSnapshot};
@@ -37,6 +38,7 @@
     commands: Sender<Command>,
     /// The number of client requests that have no response yet.
     pending_requests: Arc<AtomicUsize>,
+    health: Arc<MemberHealth>,
     /// The shutdown in progress, and the channel to notify when the process may exit. None until
     /// the process is requested to stop.
     shutdown: Option<(GracefulShutdown, Sender<()>)>,
@@ -54,12 +56,14 @@
     pub commands: Sender<Command>,
     /// The number of client requests that have no response yet.
     pub pending_requests: Arc<AtomicUsize>,
+    /// The health of the member, which the loop sets.
+    pub health: Arc<MemberHealth>,
 }
 
 impl ControlLoop {
     /// Creates a loop, which [`ControlLoop::run`] starts.
     pub fn new(node: ControlNode, connections: Connections) -> Self {
-        let Connections { own_address, disk, page_requests, commands, pending_requests } =
+        let Connections { own_address, disk, page_requests, commands, pending_requests, health } =
             connections;
         ControlLoop {
             node,
@@ -72,6 +76,7 @@
             page_requests,
             commands,
             pending_requests,
+            health,
             shutdown: None,
         }
     }
@@ -105,6 +110,7 @@
 
     fn tick(&mut self, now_ms: u64) {
         self.handle(now_ms, Input::Tick);
+        self.health.set(self.node.apply_failure());
         let consensus = self.node.consensus();
         let members: Vec<SocketAddr> =
             consensus.members().iter().map(|member| member.address).collect();
--- a/programs/control-plane/src/control_plane.rs
+++ b/programs/control-plane/src/control_plane.rs
@@ -69,6 +69,7 @@
             page_requests,
             commands: commands.clone(),
             pending_requests: request_sender.pending_requests(),
+            health: request_sender.health().clone(),
         };
         let control_loop = ControlLoop::new(node, connections);
         spawn_essential("control", move || control_loop.run(queue))?;
--- a/programs/control-plane/src/lib.rs
+++ b/programs/control-plane/src/lib.rs
@@ -28,6 +28,7 @@
 mod disk_writer;
 mod endpoint_list_fetcher;
 mod graceful_shutdown;
+mod member_health;
 pub mod operator_client;
 mod operator_handler;
 mod rehearsal;
--- a/programs/control-plane/src/request_sender.rs
+++ b/programs/control-plane/src/request_sender.rs
@@ -2,6 +2,7 @@
 //! process.
 
 use crate::command::Command;
+use crate::member_health::MemberHealth;
 use postbarrow_downstream::client_watch::ClientWatch;
 use postbarrow_downstream::controller_request::{ControlLoopQueue, send_for_client};
 use postbarrow_messages::{Request, Response};
@@ -11,13 +12,14 @@
 use std::sync::mpsc::{Sender, SyncSender};
 
 /// Sends requests to the controller on behalf of clients. Clones share the count of pending
-/// requests, the request keys and the stop flag.
+/// requests, the request keys, the stop flag and the member's health.
 #[derive(Clone)]
 pub struct RequestSender {
     commands: Sender<Command>,
     keys: Arc<RequestKeys>,
     pending: Arc<AtomicUsize>,
     is_stopping: Arc<AtomicBool>,
+    health: Arc<MemberHealth>,
 }
 
 /// Counts a request as pending until it is dropped. A stopping process waits for pending requests.
@@ -32,7 +34,13 @@
 impl RequestSender {
     pub(crate) fn new(commands: Sender<Command>) -> RequestSender {
         let keys = Arc::new(RequestKeys::new(random()));
-        RequestSender { commands, keys, pending: Arc::default(), is_stopping: Arc::default() }
+        RequestSender {
+            commands,
+            keys,
+            pending: Arc::default(),
+            is_stopping: Arc::default(),
+            health: Arc::default(),
+        }
     }
 
     /// Sends a request to the controller for a client and returns its response, as
@@ -51,6 +59,11 @@
         self.pending.clone()
     }
 
+    /// Returns the health of this process's member, which all clones share.
+    pub(crate) fn health(&self) -> &Arc<MemberHealth> {
+        &self.health
+    }
+
     pub(crate) fn stop(&self) {
         self.is_stopping.store(true, SeqCst);
     }
