A log record of any size that was written is read again

Only the reader of the log file bounded a record (64 MiB, LOG_RECORD_BYTES); a larger one counted as damage. Change: readers have no bound of their own; a record's length is checked against the file and its checksum. The writer refuses what the length field can't state, instead of truncating the length. Test: logs that begin with, or append, 72 MiB of entries are read again; both failed before ("the disk is not recovered").

--- a/crates/constants/src/consensus.rs
+++ b/crates/constants/src/consensus.rs
@@ -37,8 +37,6 @@
 /// Longest time for encoding a snapshot; the largest state takes a few seconds. An encoding without
 /// a result for this long counts as ended, so that another can start.
 pub const SNAPSHOT_ENCODE_MAX_MS: u64 = 30_000;
-/// Largest record in the log file; a larger length counts as damage.
-pub const LOG_RECORD_BYTES: usize = 64 * 1024 * 1024;
 /// Largest number of entries retained behind a snapshot, so that a slow follower needs no snapshot.
 pub const ENTRIES_RETAINED: u64 = 2_000;
 /// Largest size of the entries retained behind a snapshot: an eighth of `LOG_BYTES`, little
--- a/crates/storage/src/log_record.rs
+++ b/crates/storage/src/log_record.rs
@@ -2,7 +2,6 @@
 //! little-endian.
 
 use postbarrow_consensus::{Entry, HardState};
-use postbarrow_constants::consensus::LOG_RECORD_BYTES;
 use serde::{Deserialize, Serialize};
 use std::io;
 
@@ -39,6 +38,12 @@
     pub record: R,
 }
 
+/// Encodes a record.
+///
+/// # Errors
+///
+/// The record can't be encoded, or is longer than its length field can state. Readers have no
+/// other bound: a record that was written must be read again.
 pub(crate) fn encode_record(
     generation: u64,
     sequence: u64,
@@ -47,9 +52,10 @@
 ) -> io::Result<Vec<u8>> {
     let framed = Framed { generation, sequence, synced, record };
     let body = rmp_serde::to_vec(&framed).map_err(io::Error::other)?;
+    let length = u32::try_from(body.len()).map_err(io::Error::other)?;
     let mut bytes = Vec::with_capacity(body.len() + HEADER_BYTES);
     bytes.extend(MAGIC);
-    bytes.extend((body.len() as u32).to_le_bytes());
+    bytes.extend(length.to_le_bytes());
     bytes.extend(crc32fast::hash(&body).to_le_bytes());
     bytes.extend(body);
     Ok(bytes)
@@ -63,10 +69,7 @@
     }
     let length = u32::from_le_bytes(bytes.get(4..8)?.try_into().ok()?) as usize;
     let checksum = u32::from_le_bytes(bytes.get(8..12)?.try_into().ok()?);
-    if length > LOG_RECORD_BYTES {
-        return None;
-    }
-    let body = bytes.get(HEADER_BYTES..HEADER_BYTES + length)?;
+    let body = bytes.get(HEADER_BYTES..HEADER_BYTES.checked_add(length)?)?;
     if crc32fast::hash(body) != checksum {
         return None;
     }
