Settle the tickets of departed nodes in batches of bounded size

A leader settled all open tickets of departed nodes in one batch. Each ticket is within its bound and so is their number, but 3,000 tickets with the longest keys made an entry of 681,036 bytes, so the largest number (306,000) makes one of 69 MB: over a frame (24 MiB), so it never reaches a follower. Change: these records are proposed in batches of BATCH_BYTES. They need not be applied together: the node's removal comes first, and a next leader settles the tickets of nodes that are not registered. The size of an encoded value is counted in one function, without storing the encoding. Test: no batch of 3,000 settlements exceeds BATCH_BYTES; before, one had 681,036 bytes.

--- a/crates/controller/src/control_node/node_expiry.rs
+++ b/crates/controller/src/control_node/node_expiry.rs
@@ -25,8 +25,8 @@
         if !departed.is_empty() {
             self.log_line(format!("nodes expired count={}", departed.len()));
         }
-        if !records.is_empty() {
-            self.propose(now_ms, records);
-        }
+        // A node's removal comes first: if this leader's term ends before all settlements are
+        // committed, the next leader settles the tickets of nodes that are no longer registered.
+        self.propose_in_batches(now_ms, records);
     }
 }
--- a/crates/controller/src/control_node/proposal.rs
+++ b/crates/controller/src/control_node/proposal.rs
@@ -2,7 +2,7 @@
 
 use crate::ControlNode;
 use postbarrow_state::{Record, State};
-use postbarrow_transactions::{BatchRecord, encode};
+use postbarrow_transactions::{BatchRecord, encode, split};
 
 impl ControlNode {
     /// Proposes the records as one atomic batch, which belongs to the open transaction if there is
@@ -11,6 +11,14 @@
         self.propose_batch(now_ms, records.into_iter().map(BatchRecord::Data).collect())
     }
 
+    /// Proposes records that need not be applied together, in batches of bounded size: a batch
+    /// that exceeds a frame would never reach the other members.
+    pub(super) fn propose_in_batches(&mut self, now_ms: u64, records: Vec<Record>) {
+        for batch in split(records) {
+            self.propose(now_ms, batch);
+        }
+    }
+
     pub(super) fn propose_batch(&mut self, now_ms: u64, records: Vec<BatchRecord<Record>>) -> u64 {
         let offset = self.consensus.last_index() + 1;
         if let Some(leader) = &mut self.leader {
--- a/crates/controller/src/control_node/term.rs
+++ b/crates/controller/src/control_node/term.rs
@@ -38,9 +38,7 @@
             let abort = BatchRecord::abort("the controller that began it is gone");
             self.propose_batch(now_ms, vec![abort]);
         }
-        if !settlements.is_empty() {
-            self.propose(now_ms, settlements);
-        }
+        self.propose_in_batches(now_ms, settlements);
     }
 
     /// Steps down as leader after a higher term or the loss of the majority. The proposed state
--- a/crates/controller/tests/space_bounds.rs
+++ b/crates/controller/tests/space_bounds.rs
@@ -2,10 +2,12 @@
 
 mod harness;
 use harness::*;
-use postbarrow_consensus::{RecoveredState, Snapshot};
+use postbarrow_consensus::{Payload, RecoveredState, Snapshot};
 use postbarrow_constants::coordination::*;
+use postbarrow_constants::plans::BATCH_BYTES;
 use postbarrow_messages::{Request, Response};
 use postbarrow_state::*;
+use postbarrow_transactions::{BatchRecord, decode, messagepack_bytes};
 use std::sync::Arc;
 
 fn harness_with_state(state: State) -> Harness {
@@ -169,3 +171,36 @@
     assert!(elapsed_ms >= STORED_OUTCOME_RETENTION_MS, "removed after {elapsed_ms} ms");
     assert!(harness.state().stored_outcome_queue.is_empty());
 }
+
+/// Guards against a batch that exceeds a frame and so never reaches the other members: a leader
+/// once settled all open tickets of departed nodes in one batch.
+#[test]
+fn open_tickets_of_departed_nodes_are_settled_in_batches_of_bounded_size() {
+    const OPEN_TICKETS: usize = 3_000;
+    let mut state = State::default();
+    for at in 0..OPEN_TICKETS {
+        let key = Name::from(format!("{at:0>TICKET_KEY_BYTES$}"));
+        state.tickets.insert(key.clone(), Arc::new(ticket(&key, 1)));
+    }
+    let harness = harness_with_state(state);
+    let is_settled = |known: &Arc<Ticket>| known.settlement == Some(Settlement::Unknown);
+    assert!(harness.state().tickets.values().all(is_settled));
+    let settlements = harness
+        .records
+        .iter()
+        .filter(|record| matches!(record, BatchRecord::Data(Record::Settled { .. })));
+    assert_eq!(settlements.count(), OPEN_TICKETS);
+    for entry in &harness.entries {
+        let Payload::Batch(bytes) = &entry.payload else { continue };
+        let batch: Vec<BatchRecord<Record>> = decode(bytes).unwrap();
+        let record_bytes: usize = batch.iter().map(data_bytes).sum();
+        assert!(record_bytes <= BATCH_BYTES, "entry {}: {record_bytes} bytes", entry.index);
+    }
+}
+
+fn data_bytes(record: &BatchRecord<Record>) -> usize {
+    match record {
+        BatchRecord::Data(record) => messagepack_bytes(record),
+        _ => 0,
+    }
+}
--- a/crates/plan/src/delta.rs
+++ b/crates/plan/src/delta.rs
@@ -5,7 +5,7 @@
 use crate::splices::group_splices;
 use postbarrow_constants::plans::{ROUTES_PER_PATCH, TEXT_CHUNK_BYTES};
 use postbarrow_state::{PlanHead, Record, Route, Splice, State};
-use postbarrow_transactions::Image as _;
+use postbarrow_transactions::{Image as _, messagepack_bytes};
 
 /// Returns the records that turn the plan in force into the submitted one. None if there is no plan
 /// in force, if these records would have no fewer bytes than the submitted ones, or if they would
@@ -26,7 +26,7 @@
 }
 
 fn encoded_bytes(records: &[Record]) -> usize {
-    records.iter().map(|record| rmp_serde::to_vec(record).map_or(0, |bytes| bytes.len())).sum()
+    records.iter().map(messagepack_bytes).sum()
 }
 
 fn delta_records(old: &State, new: &State, head: &PlanHead) -> Vec<Record> {
--- a/crates/transactions/src/batch.rs
+++ b/crates/transactions/src/batch.rs
@@ -1,9 +1,8 @@
 //! The encoding of a batch, and the grouping of records into batches.
 
-use crate::{BatchRecord, TransactionError};
+use crate::{BatchRecord, TransactionError, messagepack_bytes};
 use postbarrow_constants::plans::{BATCH_BYTES, MARKER_TEXT_BYTES};
 use serde::{Serialize, de::DeserializeOwned};
-use std::io::{self, Write};
 
 /// The format number, the first byte of each batch: a reader that does not know the format rejects
 /// the batch instead of misreading it.
@@ -21,31 +20,13 @@
     bytes
 }
 
-/// Returns the number of bytes that [`encode`] returns for these records, without storing them.
+/// Returns the number of bytes that [`encode`] returns for these records.
 ///
 /// # Panics
 ///
 /// If a record can't be encoded, like [`encode`].
 pub fn encoded_bytes<R: Serialize>(records: &[BatchRecord<R>]) -> usize {
-    let mut counter = ByteCounter { bytes: size_of_val(&FORMAT) };
-    rmp_serde::encode::write(&mut counter, records).expect("counting bytes succeeds");
-    counter.bytes
-}
-
-/// A writer that only counts the bytes written to it.
-struct ByteCounter {
-    bytes: usize,
-}
-
-impl Write for ByteCounter {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.bytes += bytes.len();
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
+    size_of_val(&FORMAT) + messagepack_bytes(records)
 }
 
 /// Decodes the records of a batch.
@@ -74,7 +55,7 @@
     let mut batch = Vec::new();
     let mut size_bytes = 0;
     for record in records {
-        let length = rmp_serde::to_vec(&record).map_or(0, |bytes| bytes.len());
+        let length = messagepack_bytes(&record);
         if !batch.is_empty() && size_bytes + length > BATCH_BYTES {
             batches.push(std::mem::take(&mut batch));
             size_bytes = 0;
--- a/crates/transactions/src/lib.rs
+++ b/crates/transactions/src/lib.rs
@@ -5,6 +5,7 @@
 mod batch_record;
 mod delta_size;
 mod error;
+mod messagepack_size;
 mod tail;
 mod writer;
 
@@ -12,6 +13,7 @@
 pub use batch_record::{BatchRecord, truncate_marker_text};
 pub use delta_size::delta_bytes;
 pub use error::TransactionError;
+pub use messagepack_size::messagepack_bytes;
 pub use tail::{BatchOutcome, Tail};
 pub use writer::Writer;
 
