Refuse with 413 a submission that no frame can carry

The listener takes a plan of up to 16 MiB; its submission repeats the text's names in each route and can exceed a frame (24 MiB). On the leader's own node it was refused with 413 by the bound of its delta, on any other the frame was dropped with a warning and the operator got 504 each time.

--- a/crates/constants/src/plans.rs
+++ b/crates/constants/src/plans.rs
@@ -1,5 +1,7 @@
 //! Bounds of plans, transactions and rehearsals.
 
+use crate::traffic::FRAME_BYTES;
+
 /// Largest name in a Begin record, and largest reason in an Abort record (KIP-868).
 pub const MARKER_TEXT_BYTES: usize = 255;
 /// Longest time that a transaction may be in progress before it is aborted.
@@ -14,6 +16,13 @@
 pub const BATCH_BYTES: usize = 64 * 1024;
 /// Largest number of a transaction's batches in flight at once; pipelining hides the sync.
 pub const BATCHES_IN_FLIGHT: usize = 8;
+/// Largest part that a plan has in the image for data nodes. A frame carries the complete image, of
+/// which the remainder is for targets and nodes.
+pub const PLAN_IMAGE_BYTES: usize = FRAME_BYTES - IMAGE_REMAINDER_BYTES;
+/// Part of an image that is for targets and nodes: 16 thousand of them at 250 bytes each.
+const IMAGE_REMAINDER_BYTES: usize = 4 * 1024 * 1024;
+/// Largest encoded submission: a frame carries it with the address of its sender.
+pub const SUBMISSION_BYTES: usize = FRAME_BYTES - 4 * 1024;
 /// Largest plan text as received. Above `DELTA_BYTES`, so that a large plan is refused by the bound
 /// on its delta.
 pub const PLAN_TEXT_BYTES: usize = 16 * 1024 * 1024;
--- a/crates/messages/src/request.rs
+++ b/crates/messages/src/request.rs
@@ -3,6 +3,7 @@
 use postbarrow_state::{
     Call, GrantVersion, Name, Outcome, Record, Sample, Settlement, StoredResponse, Ticket,
 };
+use postbarrow_transactions::messagepack_bytes;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -92,6 +93,15 @@
 }
 
 impl Submission {
+    /// Returns the size of the encoded submission in bytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the submission can't be encoded, which its derived serialization rules out.
+    pub fn encoded_bytes(&self) -> usize {
+        messagepack_bytes(self)
+    }
+
     /// Returns the plan's text, assembled from the records.
     pub fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/programs/control-plane/src/lib.rs
+++ b/programs/control-plane/src/lib.rs
@@ -31,6 +31,7 @@
 mod member_health;
 pub mod operator_client;
 mod operator_handler;
+mod plan_submission;
 mod rehearsal;
 mod request_sender;
 
@@ -38,5 +39,6 @@
 pub use client_listener::listen_for_clients;
 pub use control_plane::ControlPlane;
 pub use dialect::{Dialect, NativeDialect, PageError};
+pub use plan_submission::{SubmissionTooLarge, SubmitOptions, to_submission};
 pub use postbarrow_transport::{clock_ms, random};
 pub use request_sender::RequestSender;
--- a/programs/control-plane/src/operator_handler.rs
+++ b/programs/control-plane/src/operator_handler.rs
@@ -1,12 +1,13 @@
 //! The HTTP interface of operators in Postbarrow's own dialect.
 
 use crate::client_handler::{ClientHandler, ClientRequest};
+use crate::plan_submission::{SubmitOptions, to_submission};
 use crate::rehearsal::{self, NoControllerResponse, TrafficBounds};
 use facet::Facet;
 use log::info;
 use postbarrow_constants::coordination::SUBMIT_WAIT_MS;
 use postbarrow_constants::traffic::RETRY_AFTER_S;
-use postbarrow_messages::{Request, Response, Submission};
+use postbarrow_messages::{Request, Response};
 use postbarrow_node::TargetResponse;
 use postbarrow_plan::Plan;
 use postbarrow_reading::Findings;
@@ -89,12 +90,10 @@
         return json(422, &ExceededBody { error: exceeded.join("; "), traffic });
     }
     let is_set = |name: &str| request.query(name).is_some_and(|value| matches!(value, "" | "true"));
-    let submission = Submission {
-        version: plan.version.as_str().into(),
-        base: plan.base.as_deref().map(Into::into),
-        records: plan.records(),
-        dry_run: is_set("dry-run"),
-        allow_empty: is_set("allow-empty"),
+    let options = SubmitOptions { dry_run: is_set("dry-run"), allow_empty: is_set("allow-empty") };
+    let submission = match to_submission(&plan, options) {
+        Ok(submission) => submission,
+        Err(error) => return rejection(413, &error.to_string(), Vec::new()),
     };
     info!("operator: submission version={} routes={}", plan.version, plan.routes.len());
     to_http(with_traffic(send(Request::Submit(submission)), &traffic))
