Refuse a plan whose image for data nodes would exceed a frame

Each change was bounded by its transaction (8 MiB), the plan in force by nothing: after a few changes the image, which a data node that has just started needs, was over a frame (24 MiB) and was dropped at each try, so that the node never served. Change: a plan whose routes, services and limits take over 20 MiB is refused with 413 before anything is written; the remainder of a frame is for targets and nodes. Test: 7, 14 and 19 MiB of routes are accepted and their image fits a frame, 26 MiB are refused and nothing is written; before, the fourth was begun.

--- a/crates/controller/src/control_node/plan_commit.rs
+++ b/crates/controller/src/control_node/plan_commit.rs
@@ -5,10 +5,11 @@
 use crate::operator_body::{Refused, Submitted, json};
 use crate::origin::Origin;
 use crate::plan_delta::plan_batches;
+use crate::plan_size::{PlanTooLarge, check_plan_image};
 use postbarrow_messages::Submission;
 use postbarrow_plan::Rehearsal;
 use postbarrow_state::{Digest, Record, State};
-use postbarrow_transactions::{BatchRecord, TransactionError};
+use postbarrow_transactions::BatchRecord;
 
 impl ControlNode {
     /// Begins the plan's transaction. A plan whose transaction would exceed its bound is refused
@@ -20,13 +21,19 @@
         mut submission: Submission,
         digest: Digest,
     ) {
+        if let Err(error) = check_plan_image(&submission.records) {
+            return self.refuse_too_large_plan(now_ms, origin, &submission, &error);
+        }
         let Some(state) = self.proposed_state() else { return };
         let batches = plan_batches(state, std::mem::take(&mut submission.records));
         let name = format!("plan {}", submission.version);
         let Some(leader) = &mut self.leader else { return };
         let begin = match leader.writer.begin(now_ms, &name, &batches) {
             Ok(begin) => begin,
-            Err(error) => return self.refuse_too_large_plan(now_ms, origin, &submission, &error),
+            Err(error) => {
+                let error = PlanTooLarge::Delta(error);
+                return self.refuse_too_large_plan(now_ms, origin, &submission, &error);
+            }
         };
         let offset = self.propose_batch(now_ms, vec![begin]);
         if let Some(leader) = &mut self.leader {
@@ -40,7 +47,7 @@
         now_ms: u64,
         origin: Origin,
         submission: &Submission,
-        error: &TransactionError,
+        error: &PlanTooLarge,
     ) {
         let version = &submission.version;
         self.log_line(format!("plan refused version={version} reason=\"{error}\""));
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -49,6 +49,7 @@
 mod origin;
 mod peer_directory;
 mod plan_delta;
+mod plan_size;
 mod routing_updates;
 mod snapshot;
 mod snapshot_schedule;
--- a/crates/controller/tests/plan_sizes.rs
+++ b/crates/controller/tests/plan_sizes.rs
@@ -7,6 +7,7 @@
 use harness::*;
 use postbarrow_consensus::{Entry, Payload};
 use postbarrow_constants::plans::{DELTA_BYTES, TEXT_CHUNK_BYTES};
+use postbarrow_controller::Input;
 use postbarrow_messages::*;
 use postbarrow_state::{Call, Outcome, Record};
 use postbarrow_transactions::{BatchRecord, decode, encode};
@@ -232,3 +233,54 @@
     assert_eq!(harness.response(1), Some(&Response::Outcome(Outcome::Number(5))));
     assert_eq!(harness.status(2), Some(422), "the plan is rehearsed on the state that was read");
 }
+
+/// Returns a submission whose routes have conditions of this total length. The plan's text is
+/// short, as that of a plan is whose routes repeat the name of their host.
+fn submission_with_routes(version: u64, routes: usize) -> Submission {
+    let base = (version > 1).then(|| format!("v{}", version - 1));
+    let text = plan(&format!("v{version}"), base.as_deref(), routes, "catalogue");
+    let mut submission = submission(&text);
+    for record in &mut submission.records {
+        if let Record::Route(route) = record {
+            route.when = Some("x".repeat(ROUTE_BYTES));
+        }
+    }
+    submission
+}
+
+/// Size of the condition of each route of `submission_with_routes`, in bytes.
+const ROUTE_BYTES: usize = 1 << 20;
+
+/// Guards against a plan in force that no data node can fetch any more: each change was within the
+/// bound of a transaction, their sum beyond that of a frame, so that no image reached a node that
+/// had just started.
+#[test]
+fn a_plan_that_grows_by_small_deltas_is_refused_before_its_image_exceeds_a_frame() {
+    let mut harness = Harness::serving();
+    for (version, routes) in [(1, 7), (2, 14), (3, 19)] {
+        harness.request(version, Request::Submit(submission_with_routes(version, routes)));
+        harness.run_until_idle();
+        assert_eq!(harness.status(version), Some(200), "{routes} routes");
+        assert!(image_fits_frame(&mut harness));
+    }
+    let before = harness.entries.len();
+    harness.request(4, Request::Submit(submission_with_routes(4, 26)));
+    assert_eq!(harness.status(4), Some(413));
+    assert_eq!(harness.entries.len(), before, "a refused plan was written");
+    harness.run_until_idle();
+    assert_eq!(harness.state().plan_version(), Some("v3"));
+    harness.request(5, Request::Submit(submission_with_routes(4, 13)));
+    harness.run_until_idle();
+    assert_eq!(harness.status(5), Some(200), "a smaller plan is refused");
+}
+
+/// Requests an image, as data nodes do that have just started, and encodes it into a frame.
+fn image_fits_frame(harness: &mut Harness) -> bool {
+    harness.sent.clear();
+    let version = harness.state().plan_version().unwrap().to_string();
+    let from = format!("10.3.0.{}:1", version.trim_start_matches('v')).parse().unwrap();
+    harness.input(Input::Receive(Envelope { from, message: Message::Tail { after: 0 } }));
+    let image = harness.sent.iter().find(|message| matches!(message, Message::Image(_)));
+    let message = image.expect("an image is sent").clone();
+    to_frame(&Envelope { from, message }).is_ok()
+}
