A panic while the endpoint list is fetched is a failed fetch

Change: the fetcher catches a panic and reports a failed fetch, which the list's scan retries anyway. Test: twelve fetches that each panic get twelve reports; before, the fifth would have had no fetcher.

--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -15,7 +15,9 @@
 //! | --- | --- |
 //! | requests that are accepted, redirected or queued | `control_node/requests.rs` |
 //! | the check of a submitted plan | `submission_check.rs` |
+//! | the bounds on a plan's size | `plan_size.rs`, and `begin` of the transaction's writer |
 //! | the commit or abort of a plan | `control_node/plan_commit.rs`, `plan_abort.rs` |
+//! | a committed entry that can't be applied | `apply_failure.rs`, `control_node/apply_failure.rs` |
 //! | leases of data nodes | `control_node/node_lease.rs` |
 //! | expiry of data nodes | `control_node/node_expiry.rs` |
 //! | expiry of locks | `control_node/lock_expiry.rs` |
--- a/programs/control-plane/src/endpoint_list_fetcher.rs
+++ b/programs/control-plane/src/endpoint_list_fetcher.rs
@@ -4,10 +4,11 @@
 use crate::command::{Command, PageRequest};
 use postbarrow_constants::nodes::*;
 use postbarrow_controller::{Fetched, PageResult};
-use postbarrow_transport::spawn_essential;
 use std::io;
+use std::panic::{self, AssertUnwindSafe};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::Duration;
 use ureq::Agent;
 
@@ -33,7 +34,9 @@
     for number in 0..LIST_IN_FLIGHT {
         let fetcher = Fetcher { agent: agent.clone(), url: url.clone(), dialect: dialect.clone() };
         let (requests, commands) = (requests.clone(), commands.clone());
-        spawn_essential(&format!("list {number}"), move || fetcher.run(&requests, &commands))?;
+        thread::Builder::new()
+            .name(format!("list {number}"))
+            .spawn(move || fetcher.run(&requests, &commands))?;
     }
     Ok(queue)
 }
@@ -49,13 +52,20 @@
         loop {
             let next = requests.lock().ok().and_then(|requests| requests.recv().ok());
             let Some(PageRequest { number, cursor }) = next else { return };
-            let fetched = self.fetch(cursor.as_deref());
+            let fetched = self.fetch_in_spite_of_panics(cursor.as_deref());
             if commands.send(Command::Page(PageResult { number, fetched })).is_err() {
                 return;
             }
         }
     }
 
+    /// Fetches a page. A panic is a failed fetch and not the end of the fetcher: the HTTP client
+    /// panics where the system has no thread left for it, which may be so for a moment only.
+    fn fetch_in_spite_of_panics(&self, cursor: Option<&str>) -> Fetched {
+        let fetched = panic::catch_unwind(AssertUnwindSafe(|| self.fetch(cursor)));
+        fetched.unwrap_or_else(|_| Fetched::Failed("the fetch panicked".into()))
+    }
+
     fn fetch(&self, cursor: Option<&str>) -> Fetched {
         let mut request = self.agent.get(&self.url);
         if let Some(cursor) = cursor {
@@ -92,3 +102,6 @@
     let wait_s = header.and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
     wait_s.map_or(LIST_PAUSE_MS as f64, |wait_s| (wait_s * 1_000.0).max(0.0)) as u64
 }
+
+#[cfg(test)]
+mod tests;
